feat: serve a request over the whole path

Cause: nothing existed. A request now travels from a caller through an entry instance to an engine or plain service, with the text read from the log.

--- /dev/null
+++ b/crates/vanillakeel-ctl/src/lib.rs
@@ -0,0 +1,19 @@
+//! The operator's commands as a library, for the binary and for benches.
+//!
+//! [`publish`] puts a text onto the log and waits until it is ruled on; [`keys`] makes keys for a
+//! test set of instances.
+//!
+//! ```
+//! let keys = vanillakeel_ctl::keys::make(&["entry-1"])?;
+//! assert!(keys.ca.contains("BEGIN CERTIFICATE"));
+//! # Ok::<(), vanillakeel_ctl::keys::Error>(())
+//! ```
+
+pub mod keys;
+pub mod publish;
+
+pub use self::publish::{
+    Published,
+    current,
+    publish, //
+};
--- /dev/null
+++ b/crates/vanillakeel-entry/src/platform/list.rs
@@ -0,0 +1,93 @@
+//! Reading the instance list.
+
+use crate::message::Input;
+use crossbeam::channel::Sender;
+use serde::Deserialize;
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
+    },
+    thread,
+    time::Duration,
+};
+use vanillakeel::membership::{
+    Kind,
+    Member,
+    State, //
+};
+use vanillakeel_http::{
+    Method,
+    client, //
+};
+
+/// Time after which a read is given up.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+#[derive(Debug, Deserialize)]
+struct Item {
+    name: String,
+    kind: String,
+    address: String,
+    #[serde(default)]
+    data_centre: String,
+    #[serde(default)]
+    generation: u64,
+    #[serde(default)]
+    leaving: bool,
+}
+
+impl Item {
+    fn member(&self) -> Option<Member> {
+        let kind = match self.kind.as_str() {
+            "entry" => Kind::Entry,
+            "upstream" => Kind::Upstream,
+            _ => return None,
+        };
+        Some(Member {
+            name: Arc::from(self.name.as_str()),
+            kind,
+            address: Arc::from(self.address.as_str()),
+            data_centre: Arc::from(self.data_centre.as_str()),
+            generation: self.generation,
+            state: if self.leaving {
+                State::Leaving
+            } else {
+                State::Live
+            },
+        })
+    }
+}
+
+/// Starts the thread that reads the instance list.
+pub(crate) fn spawn_list(
+    list: SocketAddr,
+    every: Duration,
+    tx: Sender<Input>,
+    is_stopping: Arc<AtomicBool>,
+) {
+    thread::spawn(move || {
+        while !is_stopping.load(Ordering::Relaxed) {
+            if let Some(members) = read(list)
+                && tx.send(Input::List(members)).is_err()
+            {
+                return;
+            }
+            thread::sleep(every);
+        }
+    });
+}
+
+fn read(list: SocketAddr) -> Option<Vec<Member>> {
+    let url = format!("http://{list}/instances");
+    let answer = client(Method::GET, &url, TIMEOUT).send().ok()?;
+    if !answer.is_success() {
+        return None;
+    }
+    let items: Vec<Item> = serde_json::from_slice(&answer.bytes().ok()?).ok()?;
+    Some(items.iter().filter_map(Item::member).collect())
+}
--- /dev/null
+++ b/crates/vanillakeel-entry/src/platform/load.rs
@@ -0,0 +1,135 @@
+//! Asking upstreams for load reports and cache events, one at a time at a bounded rate.
+
+use crate::message::{
+    Input,
+    LoadNews, //
+};
+use crossbeam::channel::Sender;
+use serde::Deserialize;
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
+    },
+    thread,
+    time::Duration,
+};
+use vanillakeel::routing::Report;
+use vanillakeel_http::{
+    Method,
+    client, //
+};
+
+/// Time after which a question is given up.
+const TIMEOUT: Duration = Duration::from_millis(500);
+
+/// An upstream to be asked.
+#[derive(Clone, Debug)]
+pub(crate) struct Target {
+    pub(crate) name: Arc<str>,
+    pub(crate) address: SocketAddr,
+    pub(crate) is_model: bool,
+}
+
+#[derive(Debug, Deserialize)]
+struct Load {
+    running: u32,
+    waiting: u32,
+    #[serde(default)]
+    models: Vec<String>,
+    #[serde(default)]
+    loading: Option<String>,
+}
+
+#[derive(Debug, Deserialize)]
+struct CacheEvent {
+    prefix: String,
+    cached: bool,
+}
+
+#[derive(Debug, Deserialize)]
+struct CacheEvents {
+    next: u64,
+    events: Vec<CacheEvent>,
+}
+
+/// Starts the thread that asks the targets in turn.
+pub(crate) fn spawn_load(
+    targets: Arc<Mutex<Vec<Target>>>,
+    every: Duration,
+    tx: Sender<Input>,
+    is_stopping: Arc<AtomicBool>,
+) {
+    thread::spawn(move || {
+        let mut turn = 0;
+        let mut read_to: Vec<(Arc<str>, u64)> = Vec::new();
+        while !is_stopping.load(Ordering::Relaxed) {
+            thread::sleep(every);
+            let target = {
+                let targets = targets.lock().unwrap_or_else(PoisonError::into_inner);
+                let count = targets.len().max(1);
+                targets.get(turn % count).cloned()
+            };
+            turn = turn.wrapping_add(1);
+            let Some(target) = target else { continue };
+            let inputs = ask(&target, &mut read_to);
+            if inputs.into_iter().any(|input| tx.send(input).is_err()) {
+                return;
+            }
+        }
+    });
+}
+
+fn ask(target: &Target, read_to: &mut Vec<(Arc<str>, u64)>) -> Vec<Input> {
+    let mut inputs = Vec::new();
+    let Some(load) = get::<Load>(target.address, "/load") else {
+        return inputs;
+    };
+    inputs.push(Input::Load(LoadNews {
+        upstream: Arc::clone(&target.name),
+        report: Report {
+            running: load.running,
+            waiting: load.waiting,
+        },
+        models: load.models.iter().map(|m| Arc::from(m.as_str())).collect(),
+        loading: load.loading.as_deref().map(Arc::from),
+    }));
+    if target.is_model {
+        inputs.extend(ask_cache(target, read_to));
+    }
+    inputs
+}
+
+fn ask_cache(target: &Target, read_to: &mut Vec<(Arc<str>, u64)>) -> Option<Input> {
+    let at = match read_to.binary_search_by(|r| r.0.cmp(&target.name)) {
+        Ok(at) => at,
+        Err(at) => {
+            read_to.insert(at, (Arc::clone(&target.name), 0));
+            at
+        }
+    };
+    let path = format!("/cache-events?from={}", read_to[at].1);
+    let news: CacheEvents = get(target.address, &path)?;
+    read_to[at].1 = news.next;
+    let events = news.events.iter().filter_map(|e| {
+        let prefix = u64::from_str_radix(&e.prefix, 16).ok()?;
+        Some((prefix, e.cached))
+    });
+    Some(Input::Cache {
+        upstream: Arc::clone(&target.name),
+        events: events.collect(),
+    })
+}
+
+fn get<T: serde::de::DeserializeOwned>(address: SocketAddr, path: &str) -> Option<T> {
+    let url = format!("http://{address}{path}");
+    let answer = client(Method::GET, &url, TIMEOUT).send().ok()?;
+    if !answer.is_success() {
+        return None;
+    }
+    serde_json::from_slice(&answer.bytes().ok()?).ok()
+}
--- /dev/null
+++ b/crates/vanillakeel-wire/src/lib.rs
@@ -0,0 +1,36 @@
+//! Messages between instances and on the log, with their conversions.
+//!
+//! [`generated`] holds the types made from `proto/vanillakeel.proto`; the conversions in
+//! [`convert`] are the border between them and the types of the `vanillakeel` library.
+//!
+//! ```
+//! use vanillakeel::lease;
+//! use vanillakeel_wire::{decode, encode, Body};
+//!
+//! let record = lease::Record {
+//!     chore: "placement".into(),
+//!     holder: "a".into(),
+//!     number: 1,
+//!     after: None,
+//! };
+//! let bytes = encode(&Body::Lease(record.clone()));
+//! assert_eq!(decode(&bytes), Ok(Body::Lease(record)));
+//! ```
+
+pub mod convert;
+#[expect(
+    missing_docs,
+    clippy::must_use_candidate,
+    reason = "the generator copies only some of the comments"
+)]
+#[rustfmt::skip]
+pub mod generated;
+
+pub use self::convert::{
+    Body,
+    DecodeError,
+    Intent,
+    decode,
+    encode, //
+};
+pub use prost::Message;
--- /dev/null
+++ b/crates/vanillakeel/src/claim/fold.rs
@@ -0,0 +1,156 @@
+//! The state that all instances fold from the same records.
+
+use super::{
+    Batch,
+    Entry,
+    Key,
+    Op, //
+};
+use std::sync::Arc;
+
+/// How a key stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// A claim holds it; its request may run.
+    Claimed,
+    /// The claim was given back; the request has not run.
+    Released,
+    /// The request has run.
+    Ran,
+}
+
+/// The claim that a key belongs to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Holder {
+    /// Who made the claim.
+    pub writer: Arc<str>,
+    /// The claim's number.
+    pub claim: u64,
+    /// How the key stands.
+    pub standing: Standing,
+}
+
+#[derive(Clone, Debug)]
+struct Writer {
+    name: Arc<str>,
+    last: u64,
+    offset: u64,
+}
+
+/// Keys and writers as the records up to an offset leave them.
+#[derive(Clone, Debug, Default)]
+pub struct Fold {
+    keys: Vec<(Key, Holder)>,
+    writers: Vec<Writer>,
+    next: u64,
+}
+
+impl Fold {
+    /// The offset after the last record that was folded.
+    #[must_use]
+    pub const fn next(&self) -> u64 {
+        self.next
+    }
+
+    /// Keys that are remembered.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.keys.len()
+    }
+
+    /// Whether no key is remembered.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.keys.is_empty()
+    }
+
+    /// Who holds a key.
+    #[must_use]
+    pub fn holder(&self, key: &Key) -> Option<&Holder> {
+        let at = self.keys.binary_search_by(|k| k.0.cmp(key)).ok()?;
+        Some(&self.keys[at].1)
+    }
+
+    /// Folds the record at `offset`; returns false for one that was folded before.
+    pub fn apply(&mut self, offset: u64, batch: &Batch) -> bool {
+        if offset < self.next {
+            return false;
+        }
+        self.next = offset + 1;
+        if !self.is_first_copy(offset, batch) {
+            return false;
+        }
+        for entry in &batch.entries {
+            self.apply_entry(&batch.writer, entry);
+        }
+        true
+    }
+
+    /// Skips to `next`, for records of other kinds.
+    pub fn skip_to(&mut self, next: u64) {
+        self.next = self.next.max(next);
+    }
+
+    fn is_first_copy(&mut self, offset: u64, batch: &Batch) -> bool {
+        match self.writers.binary_search_by(|w| w.name.cmp(&batch.writer)) {
+            Ok(at) if batch.number <= self.writers[at].last => false,
+            Ok(at) => {
+                self.writers[at].last = batch.number;
+                self.writers[at].offset = offset;
+                true
+            }
+            Err(at) => {
+                self.writers.insert(
+                    at,
+                    Writer {
+                        name: Arc::clone(&batch.writer),
+                        last: batch.number,
+                        offset,
+                    },
+                );
+                true
+            }
+        }
+    }
+
+    fn apply_entry(&mut self, writer: &Arc<str>, entry: &Entry) {
+        let found = self.keys.binary_search_by(|k| k.0.cmp(&entry.key));
+        match (entry.op, found) {
+            (Op::Claim, Err(at)) => {
+                let holder = Holder {
+                    writer: Arc::clone(writer),
+                    claim: entry.claim,
+                    standing: Standing::Claimed,
+                };
+                self.keys.insert(at, (entry.key.clone(), holder));
+            }
+            (Op::Claim, Ok(at)) => {
+                let holder = &mut self.keys[at].1;
+                if holder.standing == Standing::Released {
+                    holder.writer = Arc::clone(writer);
+                    holder.claim = entry.claim;
+                    holder.standing = Standing::Claimed;
+                }
+            }
+            (Op::Release, Ok(at)) => self.end(at, writer, entry.claim, Standing::Released),
+            (Op::Outcome, Ok(at)) => self.end(at, writer, entry.claim, Standing::Ran),
+            (Op::Release | Op::Outcome, Err(_)) => {}
+        }
+    }
+
+    /// Ends a claim, if it is the one that holds the key.
+    fn end(&mut self, at: usize, writer: &Arc<str>, claim: u64, standing: Standing) {
+        let holder = &mut self.keys[at].1;
+        let is_holder = holder.writer == *writer && holder.claim == claim;
+        if is_holder && holder.standing == Standing::Claimed {
+            holder.standing = standing;
+        }
+    }
+
+    /// Forgets keys made before `made_ms`, and writers whose last record lies before `offset`.
+    pub fn forget(&mut self, made_ms: u64, offset: u64) {
+        let old = self.keys.partition_point(|k| k.0.made_ms < made_ms);
+        self.keys.drain(..old);
+        self.writers.retain(|w| w.offset >= offset);
+    }
+}
--- /dev/null
+++ b/crates/vanillakeel/src/claim/state.rs
@@ -0,0 +1,365 @@
+//! The claims of one instance.
+
+use super::{
+    Batch,
+    Entry,
+    Fold,
+    Key,
+    Op,
+    Standing, //
+};
+use crate::Millis;
+use std::sync::Arc;
+
+/// Settings of [`Claims`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Age up to which a key is taken, in ms; shorter than the log's retention.
+    pub window_ms: u64,
+    /// Entries are gathered this long before an append, in ms.
+    pub gather_ms: u64,
+    /// An append without an answer is made again after this long, in ms.
+    pub repeat_ms: u64,
+    /// Most entries in a batch.
+    pub max_entries: usize,
+    /// Whether a request waits for its claim; turned off only to show that checks can fail.
+    pub claim_before_send: bool,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            window_ms: 15 * 60 * 1_000,
+            gather_ms: 5,
+            repeat_ms: 200,
+            max_entries: 512,
+            claim_before_send: true,
+        }
+    }
+}
+
+/// How an append has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Appended {
+    /// It is on the log.
+    Written,
+    /// It may be on the log.
+    Unknown,
+}
+
+/// What the embedding program has to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Append a record to the log.
+    Append(Batch),
+    /// The request holds its key and may be sent before its deadline.
+    Won {
+        /// The request.
+        request: u64,
+        /// The claim, for [`Claims::release`] or [`Claims::outcome`].
+        claim: u64,
+    },
+    /// Another request holds the key.
+    Lost {
+        /// The request.
+        request: u64,
+        /// How the key stands.
+        standing: Standing,
+    },
+    /// The deadline passed without a claim; the request has not run and will not.
+    GaveUp {
+        /// The request.
+        request: u64,
+    },
+}
+
+#[derive(Clone, Debug)]
+struct Waiting {
+    request: u64,
+    key: Key,
+    claim: u64,
+    deadline: Millis,
+}
+
+#[derive(Clone, Debug)]
+struct InFlight {
+    batch: Batch,
+    sent: Millis,
+    is_unknown: bool,
+}
+
+/// The claims of one instance.
+#[derive(Clone, Debug)]
+pub struct Claims {
+    settings: Settings,
+    me: Arc<str>,
+    fold: Fold,
+    is_caught_up: bool,
+    waiting: Vec<Waiting>,
+    held: Vec<(u64, Key)>,
+    pending: Vec<Entry>,
+    gathering_since: Option<Millis>,
+    in_flight: Option<InFlight>,
+    last_batch: u64,
+    last_claim: u64,
+    actions: Vec<Action>,
+}
+
+impl Claims {
+    /// Makes the claims of a writer, whose name is another after each restart.
+    #[must_use]
+    pub fn new(me: &str, settings: Settings) -> Self {
+        Self {
+            settings,
+            me: Arc::from(me),
+            fold: Fold::default(),
+            is_caught_up: false,
+            waiting: Vec::new(),
+            held: Vec::new(),
+            pending: Vec::new(),
+            gathering_since: None,
+            in_flight: None,
+            last_batch: 0,
+            last_claim: 0,
+            actions: Vec::new(),
+        }
+    }
+
+    /// Takes the actions pushed since the last call.
+    pub fn drain(&mut self) -> impl Iterator<Item = Action> {
+        std::mem::take(&mut self.actions).into_iter()
+    }
+
+    /// The state folded from the log.
+    #[must_use]
+    pub const fn fold(&self) -> &Fold {
+        &self.fold
+    }
+
+    /// Requests that wait for their claim.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Whether the log has been read to its end once.
+    #[must_use]
+    pub const fn is_caught_up(&self) -> bool {
+        self.is_caught_up
+    }
+
+    /// Begins a claim of `key` for a request.
+    ///
+    /// It ends with [`Action::Won`], [`Action::Lost`] or, after the deadline, [`Action::GaveUp`].
+    pub fn begin(&mut self, now: Millis, request: u64, key: Key, deadline: Millis) {
+        self.last_claim += 1;
+        let claim = self.last_claim;
+        if !self.settings.claim_before_send {
+            self.held.push((claim, key));
+            self.actions.push(Action::Won { request, claim });
+            return;
+        }
+        if let Some(standing) = self.standing_taken(&key) {
+            self.actions.push(Action::Lost { request, standing });
+            return;
+        }
+        self.enqueue(now, &key, claim, Op::Claim);
+        self.waiting.push(Waiting {
+            request,
+            key,
+            claim,
+            deadline,
+        });
+    }
+
+    /// How a key stands, if a claim of it cannot win at present.
+    fn standing_taken(&self, key: &Key) -> Option<Standing> {
+        self.fold
+            .holder(key)
+            .map(|h| h.standing)
+            .filter(|s| *s != Standing::Released)
+    }
+
+    fn enqueue(&mut self, now: Millis, key: &Key, claim: u64, op: Op) {
+        self.pending.push(Entry {
+            key: key.clone(),
+            claim,
+            op,
+        });
+        self.gathering_since.get_or_insert(now);
+    }
+
+    /// Gives a claim back, since its request has not run and never will.
+    pub fn release(&mut self, now: Millis, claim: u64) {
+        self.end_held(now, claim, Op::Release);
+    }
+
+    /// Says that the request of a claim has run.
+    pub fn outcome(&mut self, now: Millis, claim: u64) {
+        self.end_held(now, claim, Op::Outcome);
+    }
+
+    fn end_held(&mut self, now: Millis, claim: u64, op: Op) {
+        if let Ok(at) = self.held.binary_search_by_key(&claim, |h| h.0) {
+            let (_, key) = self.held.remove(at);
+            self.enqueue(now, &key, claim, op);
+        }
+    }
+
+    /// Forgets a claim whose request may have run; the key stays claimed.
+    pub fn keep(&mut self, claim: u64) {
+        if let Ok(at) = self.held.binary_search_by_key(&claim, |h| h.0) {
+            self.held.remove(at);
+        }
+    }
+
+    /// Drops a request whose caller has gone; its claim is given back.
+    pub fn on_caller_gone(&mut self, now: Millis, request: u64) {
+        if let Some(at) = self.waiting.iter().position(|w| w.request == request) {
+            let w = self.waiting.remove(at);
+            self.withdraw(now, &w);
+        }
+    }
+
+    /// Gives back a claim that is on its way to the log.
+    fn withdraw(&mut self, now: Millis, w: &Waiting) {
+        let unsent = self.pending.iter().position(|e| e.claim == w.claim);
+        match unsent {
+            Some(at) => {
+                self.pending.remove(at);
+            }
+            None => self.enqueue(now, &w.key, w.claim, Op::Release),
+        }
+    }
+
+    /// Does the periodic work: deadlines, the next append, the repeat of one without an answer.
+    pub fn tick(&mut self, now: Millis) {
+        while let Some(at) = self.waiting.iter().position(|w| w.deadline <= now) {
+            let w = self.waiting.remove(at);
+            self.withdraw(now, &w);
+            self.actions.push(Action::GaveUp { request: w.request });
+        }
+        self.repeat_append(now);
+        self.append(now);
+    }
+
+    fn repeat_append(&mut self, now: Millis) {
+        let repeat_ms = self.settings.repeat_ms;
+        let Some(sent) = &mut self.in_flight else {
+            return;
+        };
+        if sent.is_unknown && now.since(sent.sent) >= repeat_ms {
+            sent.sent = now;
+            sent.is_unknown = false;
+            self.actions.push(Action::Append(sent.batch.clone()));
+        }
+    }
+
+    fn append(&mut self, now: Millis) {
+        let Some(since) = self.gathering_since else {
+            return;
+        };
+        let is_due = now.since(since) >= self.settings.gather_ms
+            || self.pending.len() >= self.settings.max_entries;
+        if self.in_flight.is_some() || self.pending.is_empty() || !is_due {
+            return;
+        }
+        let count = self.pending.len().min(self.settings.max_entries);
+        self.last_batch += 1;
+        let batch = Batch {
+            writer: Arc::clone(&self.me),
+            number: self.last_batch,
+            entries: self.pending.drain(..count).collect(),
+        };
+        self.gathering_since = (!self.pending.is_empty()).then_some(now);
+        self.actions.push(Action::Append(batch.clone()));
+        self.in_flight = Some(InFlight {
+            batch,
+            sent: now,
+            is_unknown: false,
+        });
+    }
+
+    /// Takes the end of the append of batch `number`.
+    pub fn on_appended(&mut self, number: u64, end: Appended) {
+        let Some(sent) = &mut self.in_flight else {
+            return;
+        };
+        if sent.batch.number != number {
+            return;
+        }
+        match end {
+            Appended::Written => self.in_flight = None,
+            Appended::Unknown => sent.is_unknown = true,
+        }
+    }
+
+    /// Takes records of the log in order, each with its offset.
+    ///
+    /// `next` is the offset after the last record read, of whatever kind; `is_end` says that the
+    /// log holds no more.
+    pub fn on_records(&mut self, now: Millis, records: &[(u64, Batch)], next: u64, is_end: bool) {
+        for (offset, batch) in records {
+            let is_new = self.fold.apply(*offset, batch);
+            if batch.writer != self.me {
+                continue;
+            }
+            self.confirm(batch.number);
+            if is_new {
+                self.settle(now, batch);
+            }
+        }
+        self.fold.skip_to(next);
+        self.is_caught_up |= is_end;
+    }
+
+    /// A batch that is read back has been written, whatever its append was answered.
+    fn confirm(&mut self, number: u64) {
+        let sent = self.in_flight.as_ref().map(|s| s.batch.number);
+        if sent == Some(number) {
+            self.in_flight = None;
+        }
+    }
+
+    /// Decides on the requests whose claims are in a batch of this writer.
+    fn settle(&mut self, now: Millis, batch: &Batch) {
+        for entry in batch.entries.iter().filter(|e| e.op == Op::Claim) {
+            let at = self.waiting.iter().position(|w| w.claim == entry.claim);
+            let Some(at) = at else { continue };
+            let w = self.waiting.remove(at);
+            let holder = self.fold.holder(&w.key).cloned();
+            let is_mine = holder
+                .as_ref()
+                .is_some_and(|h| h.writer == self.me && h.claim == w.claim);
+            if !is_mine {
+                let standing = holder.map_or(Standing::Claimed, |h| h.standing);
+                self.actions.push(Action::Lost {
+                    request: w.request,
+                    standing,
+                });
+            } else if w.deadline <= now {
+                self.enqueue(now, &w.key, w.claim, Op::Release);
+                self.actions.push(Action::GaveUp { request: w.request });
+            } else {
+                self.hold(w.claim, w.key);
+                self.actions.push(Action::Won {
+                    request: w.request,
+                    claim: w.claim,
+                });
+            }
+        }
+    }
+
+    fn hold(&mut self, claim: u64, key: Key) {
+        let at = self.held.partition_point(|h| h.0 < claim);
+        self.held.insert(at, (claim, key));
+    }
+
+    /// Forgets keys that are out of the window at wall time `wall_ms`, and writers whose last
+    /// record the log no longer holds.
+    pub fn forget(&mut self, wall_ms: u64, first_retained: u64) {
+        let kept_ms = self.settings.window_ms.saturating_mul(2);
+        self.fold
+            .forget(wall_ms.saturating_sub(kept_ms), first_retained);
+    }
+}
--- /dev/null
+++ b/crates/vanillakeel/src/clock.rs
@@ -0,0 +1,61 @@
+//! Time in whole milliseconds.
+//!
+//! Every slice takes the time as an argument and never reads a clock, so that a daemon can feed it
+//! a monotonic clock and a bench a virtual one.
+//!
+//! ```
+//! use vanillakeel::Millis;
+//!
+//! let start = Millis::new(1_000);
+//! assert_eq!(start.plus(500).since(start), 500);
+//! ```
+
+use std::fmt;
+
+/// A point in time, in milliseconds from an origin that the embedding program chooses.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Millis(u64);
+
+impl Millis {
+    /// The origin of the clock.
+    pub const ZERO: Self = Self(0);
+
+    /// A time that is later than all others.
+    pub const MAX: Self = Self(u64::MAX);
+
+    /// Makes a time from milliseconds since the origin.
+    #[must_use]
+    pub const fn new(ms: u64) -> Self {
+        Self(ms)
+    }
+
+    /// Milliseconds since the origin.
+    #[must_use]
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+
+    /// The time `ms` milliseconds later.
+    #[must_use]
+    pub const fn plus(self, ms: u64) -> Self {
+        Self(self.0.saturating_add(ms))
+    }
+
+    /// The time `ms` milliseconds earlier, or the origin.
+    #[must_use]
+    pub const fn minus(self, ms: u64) -> Self {
+        Self(self.0.saturating_sub(ms))
+    }
+
+    /// Milliseconds that have passed since `earlier`, zero if it lies ahead.
+    #[must_use]
+    pub const fn since(self, earlier: Self) -> u64 {
+        self.0.saturating_sub(earlier.0)
+    }
+}
+
+impl fmt::Display for Millis {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} ms", self.0)
+    }
+}
--- /dev/null
+++ b/crates/vanillakeel/src/router.rs
@@ -0,0 +1,28 @@
+//! The traffic decisions of one instance: admission, routing, attempts and shares together.
+//!
+//! [`Router`] takes typed events with the time and pushes typed [`Action`]s, which the embedding
+//! program takes with [`Router::drain`] and carries out. The same events and seed give the same
+//! actions.
+//!
+//! ```
+//! use vanillakeel::{router::{Action, Router, Settings}, Millis, Request};
+//!
+//! let mut router = Router::new("instance-1", 7, Settings::default());
+//! router.set_upstream("pool", "runner-1", 16, "dc-1");
+//! let req = Request { id: 1, pool: "pool".into(), ..Request::default() };
+//! router.arrive(Millis::ZERO, req);
+//! let actions: Vec<Action> = router.drain().collect();
+//! assert!(matches!(&actions[0], Action::Send { request: 1, .. }));
+//! ```
+
+mod calls;
+mod pool;
+mod pump;
+mod state;
+
+pub use self::state::{
+    Action,
+    Counts,
+    Router,
+    Settings, //
+};
--- /dev/null
+++ b/crates/vanillakeel/src/routing/health.rs
@@ -0,0 +1,82 @@
+//! Whether an upstream is used, ejected or probed.
+
+use crate::Millis;
+
+/// First time of an ejection, in ms.
+const FIRST_EJECTION_MS: u64 = 1_000;
+
+/// Longest time of an ejection, in ms.
+const LONGEST_EJECTION_MS: u64 = 30_000;
+
+/// Calls in flight that a returning upstream starts with.
+const RETURN_SLOTS: u32 = 2;
+
+/// State of one upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) enum State {
+    /// It is used without limit.
+    #[default]
+    Good,
+    /// It is not used until a time.
+    Ejected(Millis),
+    /// One call shows whether it is back.
+    Probing,
+    /// It is back and used up to a number of calls, which doubles with each success.
+    Returning(u32),
+}
+
+/// Health of one upstream, learnt from calls.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Health {
+    pub(super) state: State,
+    ejections: u32,
+}
+
+impl Health {
+    /// Most calls in flight that the state allows.
+    pub(super) fn allowance(&self, now: Millis) -> u32 {
+        match self.state {
+            State::Good => u32::MAX,
+            State::Ejected(until) if now < until => 0,
+            State::Ejected(_) | State::Probing => 1,
+            State::Returning(slots) => slots,
+        }
+    }
+
+    pub(super) fn is_ejected(&self) -> bool {
+        matches!(self.state, State::Ejected(_) | State::Probing)
+    }
+
+    pub(super) fn on_send(&mut self) {
+        if let State::Ejected(_) = self.state {
+            self.state = State::Probing;
+        }
+    }
+
+    pub(super) fn eject(&mut self, now: Millis) {
+        let doublings = self.ejections.min(10);
+        let ms = (FIRST_EJECTION_MS << doublings).min(LONGEST_EJECTION_MS);
+        self.ejections = self.ejections.saturating_add(1);
+        self.state = State::Ejected(now.plus(ms));
+    }
+
+    /// A call that was neither a success nor a failure of the upstream has ended.
+    pub(super) fn on_neutral(&mut self, now: Millis) {
+        if self.state == State::Probing {
+            self.state = State::Ejected(now);
+        }
+    }
+
+    pub(super) fn on_success(&mut self, slots: u32) {
+        self.state = match self.state {
+            State::Good => State::Good,
+            State::Ejected(until) => State::Ejected(until),
+            State::Probing => State::Returning(RETURN_SLOTS),
+            State::Returning(n) if n >= slots => {
+                self.ejections = 0;
+                State::Good
+            }
+            State::Returning(n) => State::Returning(n.saturating_mul(2)),
+        };
+    }
+}
--- /dev/null
+++ b/crates/vanillakeel/src/text.rs
@@ -0,0 +1,174 @@
+//! The operator's text: services, what each depends on, events, classes and upstreams.
+//!
+//! [`Text::parse`] reads the TOML form and checks it as a whole, so that a text that is in force
+//! never names something that does not exist.
+//!
+//! ```
+//! use vanillakeel::Text;
+//!
+//! let text = Text::parse(
+//!     r#"
+//!     [[workspace]]
+//!     name = "clerks"
+//!
+//!     [[class]]
+//!     name = "validity"
+//!     tier = 0
+//!     target_ms = 400
+//!     protected = true
+//!
+//!     [[pool]]
+//!     name = "register"
+//!     kind = "plain"
+//!
+//!     [[service]]
+//!     name = "checks"
+//!     pool = "register"
+//!     prefix = "/register"
+//! "#,
+//! )?;
+//! assert_eq!(text.class("validity").map(|c| c.tier), Some(0));
+//! # Ok::<(), vanillakeel::text::Error>(())
+//! ```
+
+mod check;
+mod parts;
+
+pub use self::{
+    check::Error,
+    parts::{
+        Class,
+        Event,
+        Kind,
+        Pool,
+        Service,
+        Upstream,
+        Workspace, //
+    },
+};
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+/// Largest size of a text in bytes.
+pub const MAX_TEXT_BYTES: usize = 1 << 20;
+
+/// The operator's text after its checks, each list sorted by name.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Text {
+    /// Workspaces, by name.
+    #[serde(default, rename = "workspace")]
+    pub workspaces: Vec<Workspace>,
+    /// Classes of requests, by name.
+    #[serde(default, rename = "class")]
+    pub classes: Vec<Class>,
+    /// Pools of interchangeable upstreams, by name.
+    #[serde(default, rename = "pool")]
+    pub pools: Vec<Pool>,
+    /// Upstreams, by name.
+    #[serde(default, rename = "upstream")]
+    pub upstreams: Vec<Upstream>,
+    /// Services, by name.
+    #[serde(default, rename = "service")]
+    pub services: Vec<Service>,
+    /// Events with a fixed start, by name.
+    #[serde(default, rename = "event")]
+    pub events: Vec<Event>,
+}
+
+impl Text {
+    /// Reads and checks a text.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first fault found, with the key it concerns.
+    pub fn parse(source: &str) -> Result<Self, Error> {
+        if source.len() > MAX_TEXT_BYTES {
+            return Err(Error::TooLarge {
+                bytes: source.len(),
+                limit: MAX_TEXT_BYTES,
+            });
+        }
+        let mut text: Self = toml::from_str(source).map_err(|e| Error::syntax(source, &e))?;
+        text.sort();
+        check::all(&text)?;
+        Ok(text)
+    }
+
+    fn sort(&mut self) {
+        self.workspaces.sort_by(|a, b| a.name.cmp(&b.name));
+        self.classes.sort_by(|a, b| a.name.cmp(&b.name));
+        self.pools.sort_by(|a, b| a.name.cmp(&b.name));
+        self.upstreams.sort_by(|a, b| a.name.cmp(&b.name));
+        self.services.sort_by(|a, b| a.name.cmp(&b.name));
+        self.events.sort_by(|a, b| a.name.cmp(&b.name));
+    }
+
+    /// The workspace called `name`.
+    #[must_use]
+    pub fn workspace(&self, name: &str) -> Option<&Workspace> {
+        find(&self.workspaces, name, |w| &w.name)
+    }
+
+    /// The class called `name`.
+    #[must_use]
+    pub fn class(&self, name: &str) -> Option<&Class> {
+        find(&self.classes, name, |c| &c.name)
+    }
+
+    /// The pool called `name`.
+    #[must_use]
+    pub fn pool(&self, name: &str) -> Option<&Pool> {
+        find(&self.pools, name, |p| &p.name)
+    }
+
+    /// The service called `name`.
+    #[must_use]
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        find(&self.services, name, |s| &s.name)
+    }
+
+    /// The upstream called `name`.
+    #[must_use]
+    pub fn upstream(&self, name: &str) -> Option<&Upstream> {
+        find(&self.upstreams, name, |u| &u.name)
+    }
+
+    /// The service that answers for `model`.
+    #[must_use]
+    pub fn service_of_model(&self, model: &str) -> Option<&Service> {
+        self.services
+            .iter()
+            .find(|s| s.model.as_deref() == Some(model))
+    }
+
+    /// The plain service with the longest prefix that `path` starts with.
+    #[must_use]
+    pub fn service_of_path(&self, path: &str) -> Option<&Service> {
+        self.services
+            .iter()
+            .filter(|s| s.prefix.as_deref().is_some_and(|p| under_prefix(path, p)))
+            .max_by_key(|s| s.prefix.as_ref().map_or(0, String::len))
+    }
+
+    /// The upstreams of a pool.
+    pub fn upstreams_of(&self, pool: &str) -> impl Iterator<Item = &Upstream> {
+        self.upstreams.iter().filter(move |u| u.pool == pool)
+    }
+}
+
+fn find<'a, T>(sorted: &'a [T], name: &str, key: impl Fn(&T) -> &String) -> Option<&'a T> {
+    sorted
+        .binary_search_by(|item| key(item).as_str().cmp(name))
+        .ok()
+        .map(|at| &sorted[at])
+}
+
+/// Whether `path` is `prefix` or lies below it.
+fn under_prefix(path: &str, prefix: &str) -> bool {
+    path.strip_prefix(prefix)
+        .is_some_and(|rest| rest.is_empty() || rest.starts_with(['/', '?']))
+}
--- /dev/null
+++ b/crates/vanillakeel/src/verdict.rs
@@ -0,0 +1,150 @@
+//! What is known about a request that was not answered in full.
+//!
+//! Each refusal and each failed answer carries a [`Verdict`]. A caller may send a request again
+//! without risk only if the verdict is [`Verdict::NotRun`].
+//!
+//! ```
+//! use vanillakeel::Verdict;
+//!
+//! assert!(Verdict::NotRun.allows_repeat(false));
+//! assert!(!Verdict::MayHaveRun.allows_repeat(false));
+//! assert!(Verdict::MayHaveRun.allows_repeat(true));
+//! ```
+
+use std::fmt;
+
+/// Whether an upstream has run a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Verdict {
+    /// No upstream has run it, nor will one.
+    NotRun,
+    /// An upstream may have run it, in whole or in part.
+    #[default]
+    MayHaveRun,
+    /// An upstream has run it.
+    Ran,
+}
+
+impl Verdict {
+    /// The value of the `x-verdict` header.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::NotRun => "not-run",
+            Self::MayHaveRun => "may-have-run",
+            Self::Ran => "ran",
+        }
+    }
+
+    /// Reads the value of an `x-verdict` header.
+    #[must_use]
+    pub fn parse(text: &str) -> Option<Self> {
+        [Self::NotRun, Self::MayHaveRun, Self::Ran]
+            .into_iter()
+            .find(|v| v.as_str() == text)
+    }
+
+    /// Whether the request may be sent again.
+    #[must_use]
+    pub const fn allows_repeat(self, idempotent: bool) -> bool {
+        idempotent || matches!(self, Self::NotRun)
+    }
+}
+
+impl fmt::Display for Verdict {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+/// Why a request was refused or has failed.
+#[derive(Clone, Copy, Debug, displaydoc::Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Reason {
+    /// the pool's queue is full and nothing of a lower tier is queued
+    QueueFull,
+    /// a request of a higher tier took the place in the queue
+    Shed,
+    /// the deadline passed before the request was sent
+    DeadlineBeforeSend,
+    /// the deadline passed after the request was sent
+    DeadlineAfterSend,
+    /// the upstream failed and the request may not be sent again
+    UpstreamFailed,
+    /// no attempts or retry budget are left
+    RetriesSpent,
+    /// no upstream serves the pool
+    NoUpstream,
+    /// the key was claimed by an earlier request
+    KeyClaimed,
+    /// the key's time is outside of the window
+    KeyExpired,
+    /// the claim could not be made before the deadline
+    ClaimUnavailable,
+    /// the instance is stopping
+    Stopping,
+    /// the upstream refused the request
+    UpstreamRefused,
+}
+
+impl Reason {
+    /// A short stable word for bodies and metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::QueueFull => "queue_full",
+            Self::Shed => "shed",
+            Self::DeadlineBeforeSend => "deadline_before_send",
+            Self::DeadlineAfterSend => "deadline_after_send",
+            Self::UpstreamFailed => "upstream_failed",
+            Self::RetriesSpent => "retries_spent",
+            Self::NoUpstream => "no_upstream",
+            Self::KeyClaimed => "key_claimed",
+            Self::KeyExpired => "key_expired",
+            Self::ClaimUnavailable => "claim_unavailable",
+            Self::Stopping => "stopping",
+            Self::UpstreamRefused => "upstream_refused",
+        }
+    }
+
+    /// The HTTP status that a caller sees.
+    #[must_use]
+    pub const fn status(self) -> u16 {
+        match self {
+            Self::QueueFull | Self::Shed => 429,
+            Self::DeadlineBeforeSend | Self::DeadlineAfterSend => 504,
+            Self::UpstreamFailed | Self::RetriesSpent | Self::UpstreamRefused => 502,
+            Self::NoUpstream | Self::ClaimUnavailable | Self::Stopping => 503,
+            Self::KeyClaimed => 409,
+            Self::KeyExpired => 400,
+        }
+    }
+}
+
+/// The final answer to a request that is given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Refusal {
+    /// Whether the request may have run.
+    pub verdict: Verdict,
+    /// Why it is given up.
+    pub reason: Reason,
+    /// When the caller may come back, in ms.
+    pub retry_after_ms: u64,
+}
+
+impl Refusal {
+    /// A refusal without advice on when to come back.
+    #[must_use]
+    pub const fn new(verdict: Verdict, reason: Reason) -> Self {
+        Self {
+            verdict,
+            reason,
+            retry_after_ms: 0,
+        }
+    }
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.verdict, self.reason)
+    }
+}
