--- a/crates/vanillakeel-bench/src/main.rs
+++ b/crates/vanillakeel-bench/src/main.rs
@@ -1,6 +1,7 @@
 //! Load and experiment tool.
 
 mod load;
+mod policy;
 mod quickstart;
 mod rig;
 
@@ -44,6 +45,7 @@
                 .arg(number("seed", "1", "Seed of the load"))
                 .arg(number("seconds", "12", "Length of the load in seconds")),
         )
+        .subcommand(policy::command())
 }
 
 fn value(args: &ArgMatches, name: &str) -> u64 {
@@ -64,6 +66,7 @@
     let matches = command().get_matches();
     let done = match matches.subcommand() {
         Some(("quickstart", args)) => run_quickstart(args),
+        Some(("policy", args)) => policy::run(args),
         _ => Ok(true),
     };
     match done {
--- /dev/null
+++ b/crates/vanillakeel-bench/src/policy/variant.rs
@@ -0,0 +1,94 @@
+//! Settings of the routers that are compared.
+
+use vanillakeel::{
+    admission::{
+        self,
+        Order, //
+    },
+    attempt, router,
+    routing::{
+        self,
+        Choice, //
+    },
+    share::{
+        self,
+        Mode, //
+    },
+};
+
+/// Routers with some settings.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct Variant {
+    pub(super) name: &'static str,
+    pub(super) settings: router::Settings,
+    /// Whether upstreams are told tiers as priorities.
+    pub(super) tells_priority: bool,
+}
+
+/// First come first served, random of two by own calls in flight, blind retry up to 2.
+fn baseline() -> Variant {
+    Variant {
+        name: "baseline",
+        settings: router::Settings {
+            admission: admission::Settings {
+                limit: usize::MAX,
+                floor_every: 0,
+                order: Order::Arrival,
+                tiers: false,
+                ..admission::Settings::default()
+            },
+            routing: routing::Settings {
+                choice: Choice::TwoRandomInFlight,
+                ejection: false,
+                ..routing::Settings::default()
+            },
+            attempt: attempt::Settings {
+                max_tries: 3,
+                blind_retry: true,
+                resume: false,
+                hedge: false,
+                preempt: false,
+                stall_ms: u64::MAX,
+                first_token_stall_ms: u64::MAX,
+                ..attempt::Settings::default()
+            },
+            share: share::Settings {
+                mode: Mode::Unlimited,
+                ..share::Settings::default()
+            },
+        },
+        tells_priority: false,
+    }
+}
+
+fn keel(name: &'static str, change: impl FnOnce(&mut router::Settings)) -> Variant {
+    let mut settings = router::Settings::default();
+    change(&mut settings);
+    Variant {
+        name,
+        settings,
+        tells_priority: true,
+    }
+}
+
+/// All variants; the second is the one that the daemon has.
+pub(super) fn all() -> Vec<Variant> {
+    vec![
+        baseline(),
+        keel("default", |_| {}),
+        keel("share-even", |s| s.share.mode = Mode::Even),
+        keel("share-learned", |s| s.share.mode = Mode::Learned),
+        keel("share-none", |s| s.share.mode = Mode::Unlimited),
+        keel("route-two-random", |s| s.routing.choice = Choice::TwoRandom),
+        keel("route-prefix", |s| s.routing.choice = Choice::Prefix),
+        keel("order-earliest-due", |s| {
+            s.admission.order = Order::EarliestDue;
+        }),
+        keel("order-arrival", |s| s.admission.order = Order::Arrival),
+        keel("no-floor", |s| s.admission.floor_every = 0),
+        keel("no-hedge", |s| s.attempt.hedge = false),
+        keel("no-resume", |s| s.attempt.resume = false),
+        keel("no-ejection", |s| s.routing.ejection = false),
+        keel("no-preemption", |s| s.attempt.preempt = false),
+    ]
+}
