feat(routing): choose by prefix with bounded load

Cause: least cost sent long prompts to engines that had not cached them, and all instances that saw the same report chose the same engine. Ruled out: the share limit (route variants differ with it turned off as well) and the order inside a tier (earliest due and arrival change steady load by nothing).

Conclusion: rendezvous by prefix is the default; least cost and random of two stay as variants.

--- a/crates/vanillakeel/src/routing/table.rs
+++ b/crates/vanillakeel/src/routing/table.rs
@@ -26,13 +26,14 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Choice {
     /// The least cost of all.
-    #[default]
     LeastCost,
     /// The lesser cost of two taken at random.
     TwoRandom,
     /// The lesser number of own calls in flight of two taken at random.
     TwoRandomInFlight,
-    /// The first by rendezvous hash of the prefix whose load is below a bound.
+    /// The first by rendezvous hash of the prefix whose load is below a bound; without a prefix,
+    /// the lesser cost of two taken at random.
+    #[default]
     Prefix,
 }
 
@@ -41,6 +42,8 @@
 pub struct Settings {
     /// How an upstream is chosen.
     pub choice: Choice,
+    /// Load up to which an upstream is taken by prefix, as a multiple of the mean.
+    pub load_bound: f64,
     /// Age at which a load report counts for half, in ms.
     pub report_half_life_ms: u64,
     /// An upstream is ejected if its step takes this many times the median.
@@ -54,7 +57,8 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            choice: Choice::LeastCost,
+            choice: Choice::Prefix,
+            load_bound: 1.25,
             report_half_life_ms: 1_500,
             straggler_factor: 2.5,
             max_ejected: 0.34,
@@ -264,6 +268,10 @@
                 let two = two_of(candidates, random);
                 least(two.into_iter(), |at| f64::from(self.sorted[at].in_flight))
             }
+            Choice::Prefix if req.prefix == 0 => {
+                let two = two_of(candidates, random);
+                least(two.into_iter(), |at| self.cost(now, req, at))
+            }
             Choice::Prefix => self.by_prefix(now, req, candidates),
         }
     }
@@ -294,13 +302,14 @@
         let load = |at: usize| {
             let u = &self.sorted[at];
             let foreign = u.foreign(now, self.settings.report_half_life_ms);
-            (f64::from(u.in_flight) + foreign) / f64::from(u.slots.max(1))
+            let calls = f64::from(u.in_flight) + foreign;
+            calls / f64::from(u.slots.max(1)) * self.slowness(u)
         };
         let mean = candidates.iter().map(|at| load(*at)).sum::<f64>() / candidates.len() as f64;
         candidates
             .iter()
             .copied()
-            .filter(|at| load(*at) <= mean * 1.25)
+            .filter(|at| load(*at) <= mean * self.settings.load_bound)
             .max_by_key(|at| weight(&chore, &self.sorted[*at].name))
             .or_else(|| least(candidates.iter().copied(), load))
     }
