perf(share): pace messages, fill engines a little beyond their slots

Cause: a demand that changed by 15 % was sent at each tick, 4.5 KB/s for an instance where 2 KB/s is allowed; and with calls in flight limited to the slots exactly, engines ran empty for a round trip between two requests. Also, the scenario overload is now 1.5 of the capacity with warm caches, since with routing by prefix the old one was no overload any more.

Conclusion: demand split with a fill of 1.25 is the default.

--- a/crates/vanillakeel-bench/src/policy/scenario.rs
+++ b/crates/vanillakeel-bench/src/policy/scenario.rs
@@ -8,7 +8,8 @@
 /// Part of the engines' capacity that the load asks for in ordinary times.
 const STEADY_LOAD: f64 = 0.6;
 
-/// Part of the engines' capacity that the load asks for under overload.
+/// Part of the engines' capacity with warm caches that the load asks for under overload, so that
+/// no policy can serve it all.
 const OVERLOAD: f64 = 1.5;
 
 /// Prompts of a class that share one beginning.
@@ -206,6 +207,8 @@
     pub(super) name: &'static str,
     /// Load on model engines as a part of their capacity.
     pub(super) load: f64,
+    /// Whether that capacity is the one with warm prefix caches, not with cold ones.
+    pub(super) is_of_warm: bool,
     /// Factor on the rate of the class of tier 2 from 20 s to 40 s.
     pub(super) burst: f64,
     /// Factor on the rate of the top class of model engines from 20 s to 40 s.
@@ -223,6 +226,7 @@
     Scenario {
         name,
         load: STEADY_LOAD,
+        is_of_warm: false,
         burst: 1.0,
         due: 1.0,
         skew: 0.0,
@@ -247,6 +251,7 @@
         },
         Scenario {
             load: OVERLOAD,
+            is_of_warm: true,
             ..base("overload")
         },
         Scenario {
@@ -302,7 +307,7 @@
         if class.is_plain {
             return factor * class.part * 40.0 * size.plains as f64;
         }
-        let capacity = 1_000.0 / engine_ms(class, &batch::Settings::default());
+        let capacity = 1_000.0 / engine_ms(class, &batch::Settings::default(), self.is_of_warm);
         factor * self.load * class.part * capacity * size.engines as f64
     }
 
@@ -318,8 +323,9 @@
 }
 
 /// Time of an engine that runs full which a request of a class takes, in ms.
-fn engine_ms(class: &Class, batch: &batch::Settings) -> f64 {
+fn engine_ms(class: &Class, batch: &batch::Settings, is_warm: bool) -> f64 {
+    let part = if is_warm { batch.cached_part } else { 1.0 };
     let full = batch.step_ms + batch.per_sequence_ms * batch.slots as f64;
     let decode = mean_tokens(class) * full / batch.slots as f64;
-    decode + f64::from(class.prompt_tokens) * batch.per_prompt_token_ms
+    decode + part * f64::from(class.prompt_tokens) * batch.per_prompt_token_ms
 }
--- a/crates/vanillakeel-bench/src/policy/variant.rs
+++ b/crates/vanillakeel-bench/src/policy/variant.rs
@@ -80,7 +80,13 @@
         keel("share-learned", |s| s.share.mode = Mode::Learned),
         keel("share-none", |s| s.share.mode = Mode::Unlimited),
         keel("route-two-random", |s| s.routing.choice = Choice::TwoRandom),
-        keel("route-prefix", |s| s.routing.choice = Choice::Prefix),
+        keel("route-least-cost", |s| {
+            s.routing.choice = Choice::LeastCost;
+        }),
+        keel("load-bound-2", |s| s.routing.load_bound = 2.0),
+        keel("fill-1", |s| s.share.fill = 1.0),
+        keel("fill-1.5", |s| s.share.fill = 1.5),
+        keel("fill-2", |s| s.share.fill = 2.0),
         keel("order-earliest-due", |s| {
             s.admission.order = Order::EarliestDue;
         }),
--- a/crates/vanillakeel/src/share.rs
+++ b/crates/vanillakeel/src/share.rs
@@ -28,6 +28,9 @@
 /// A demand or grant is sent again after this long, in ms.
 const REFRESH_MS: u64 = 3_000;
 
+/// Demands and grants are sent no more often than this, in ms.
+const PACE_MS: u64 = 1_000;
+
 /// Change of a demand or grant that is worth a message.
 const WORTH_SENDING: f64 = 0.15;
 
@@ -70,7 +73,7 @@
         Self {
             mode: Mode::Demand,
             overdraw: 0.25,
-            fill: 1.0,
+            fill: 1.25,
         }
     }
 }
@@ -189,7 +192,7 @@
 
     fn is_worth_sending(&self, now: Millis, calls: u32) -> bool {
         self.sent
-            .is_none_or(|(at, last)| now.since(at) >= REFRESH_MS || differs(last, calls))
+            .is_none_or(|(at, last)| is_due(now, at, last, calls))
     }
 
     fn hear(&mut self, now: Millis, from: &Arc<str>, calls: u32) {
@@ -227,10 +230,10 @@
             };
             let part = to_split * (BASE / heard + (1.0 - BASE) * by_demand);
             let per_mille = (part * PER_MILLE).round() as u32;
-            let is_due = d
-                .granted_at
-                .is_none_or(|at| now.since(at) >= REFRESH_MS || differs(d.granted, per_mille));
-            if !is_due {
+            let granted = d.granted;
+            if d.granted_at
+                .is_some_and(|at| !is_due(now, at, granted, per_mille))
+            {
                 continue;
             }
             d.granted = per_mille;
@@ -270,6 +273,12 @@
     }
 }
 
+/// Whether a number that was last sent at `at` is sent again.
+fn is_due(now: Millis, at: Millis, old: u32, new: u32) -> bool {
+    let age_ms = now.since(at);
+    age_ms >= REFRESH_MS || (age_ms >= PACE_MS && differs(old, new))
+}
+
 fn differs(old: u32, new: u32) -> bool {
     let change = f64::from(old.abs_diff(new));
     change > f64::from(old.max(2)) * WORTH_SENDING
