perf(admission): serve the latest due first in a tier that is overloaded

Cause: by earliest latest start, each request of an overloaded tier is sent when it is just about to be late, and half of them then miss their target by the spread of the time to the first token. A scenario top-overload shows it: the top class of the model engines asks for more than all capacity.

Conclusion: earliest latest start while a tier copes, latest due first while it does not.

--- a/crates/vanillakeel-bench/src/policy/scenario.rs
+++ b/crates/vanillakeel-bench/src/policy/scenario.rs
@@ -213,6 +213,8 @@
     pub(super) burst: f64,
     /// Factor on the rate of the top class of model engines from 20 s to 40 s.
     pub(super) due: f64,
+    /// Factor on the rate of the top class of model engines, all the time.
+    pub(super) top: f64,
     /// Part of all requests that come to the first instance.
     pub(super) skew: f64,
     /// Lag of load reports in ms.
@@ -229,6 +231,7 @@
         is_of_warm: false,
         burst: 1.0,
         due: 1.0,
+        top: 1.0,
         skew: 0.0,
         report_lag_ms: 500,
         peers_are_cut: false,
@@ -254,6 +257,11 @@
             is_of_warm: true,
             ..base("overload")
         },
+        Scenario {
+            is_of_warm: true,
+            top: 12.0,
+            ..base("top-overload")
+        },
         Scenario {
             faults: vec![(15_000, straggle), (45_000, Fault::Recover)],
             ..base("straggler")
@@ -301,7 +309,8 @@
         let is_middle = (20_000..40_000).contains(&now_ms);
         let factor = match class.tier {
             2 if is_middle => self.burst,
-            1 if is_middle => self.due,
+            1 if is_middle => self.due * self.top,
+            1 => self.top,
             _ => 1.0,
         };
         if class.is_plain {
--- a/crates/vanillakeel/src/admission/tier.rs
+++ b/crates/vanillakeel/src/admission/tier.rs
@@ -9,6 +9,9 @@
 /// How many requests are looked at for one of a workspace that is not ahead of its share.
 const FAIR_WINDOW: usize = 64;
 
+/// A tier counts as overloaded if more than one in this many of its requests are too late.
+const OVERLOADED_PART: usize = 4;
+
 /// A waiting request.
 #[derive(Clone, Debug)]
 pub(super) struct Waiting {
@@ -101,11 +104,15 @@
         if feasible == self.sorted.len() {
             return 0;
         }
-        let window = self.sorted[feasible..].iter().take(FAIR_WINDOW);
-        window
-            .enumerate()
-            .find(|(_, w)| self.accounts.may_go(&w.req.workspace))
-            .map_or(feasible, |(at, _)| feasible + at)
+        let last = self.sorted.len() - 1;
+        let may_go = |at: &usize| self.accounts.may_go(&self.sorted[*at].req.workspace);
+        let is_overloaded = feasible > self.sorted.len() / OVERLOADED_PART;
+        if is_overloaded {
+            let window = (feasible..=last).rev().take(FAIR_WINDOW);
+            return window.into_iter().find(may_go).unwrap_or(last);
+        }
+        let window = (feasible..=last).take(FAIR_WINDOW);
+        window.into_iter().find(may_go).unwrap_or(feasible)
     }
 
     /// Takes the request that has waited longest.
