perf(admission): refuse a request before it is sent if it cannot end in time

Cause: the longest waiting request gets the turn kept for its tier shortly before its deadline, and its answer was then cut in the middle. A first try with the median of the answer's length changed nothing, since the answers that were cut are the long ones.

Conclusion: the 95 % quantile of the class's answers decides; the refusal comes at once and says not run.

--- a/crates/vanillakeel/src/router/pump.rs
+++ b/crates/vanillakeel/src/router/pump.rs
@@ -20,6 +20,9 @@
 /// Quantile of the answer's length that a workspace is charged with when a request is sent.
 const CHARGED_QUANTILE: f64 = 0.5;
 
+/// Quantile of the answer's length by which a request is given up that can't end in time.
+const LONG_ANSWER: f64 = 0.95;
+
 impl Router {
     /// Sends waiting requests of a pool while there is room.
     pub(super) fn pump(&mut self, now: Millis, at: usize) {
@@ -32,7 +35,7 @@
             return false;
         };
         let (id, protected, deadline) = (head.id, head.protected, head.deadline);
-        if now >= deadline {
+        if now.plus(self.expected_ms(at, id)) >= deadline {
             self.pools[at].queue.remove(id);
             self.expire(now, at, id);
             return true;
@@ -54,6 +57,20 @@
         true
     }
 
+    /// Time that the rest of a request's answer takes, but for few of them, in ms.
+    fn expected_ms(&mut self, at: usize, request: u64) -> u64 {
+        let Some(call) = self.calls.get_mut(request) else {
+            return 0;
+        };
+        let delivered = call.delivered;
+        let class = Arc::clone(&call.req.class);
+        let most = call.req.max_tokens.max(delivered);
+        let tokens = self.lengths.quantile(&class, LONG_ANSWER, delivered);
+        let left = tokens.min(most).saturating_sub(delivered);
+        let table = &self.pools[at].table;
+        table.first_token_ms() + (f64::from(left) * table.median_step_ms()) as u64
+    }
+
     fn pick(&mut self, now: Millis, at: usize, request: u64) -> Option<Arc<str>> {
         let call = self.calls.get_mut(request)?;
         let pool = &self.pools[at];
