feat(routing): move streams away from a straggling upstream

Cause: calls in flight on an upstream that is ejected for straggling ended there, each token late. And an upstream ejected for a crash used up the bound on ejected stragglers, so that stragglers stayed in use beside a crash.

A fault found on the way: an attempt whose last token came with the progress that ejected its upstream was moved although its caller had the whole answer; the embedding program now closes such a request.

--- a/crates/vanillakeel-bench/src/policy/variant.rs
+++ b/crates/vanillakeel-bench/src/policy/variant.rs
@@ -48,6 +48,7 @@
                 resume: false,
                 hedge: false,
                 preempt: false,
+                move_away: false,
                 stall_ms: u64::MAX,
                 first_token_stall_ms: u64::MAX,
                 ..attempt::Settings::default()
@@ -95,6 +96,7 @@
         keel("no-hedge", |s| s.attempt.hedge = false),
         keel("no-resume", |s| s.attempt.resume = false),
         keel("no-ejection", |s| s.routing.ejection = false),
+        keel("no-moving", |s| s.attempt.move_away = false),
         keel("no-preemption", |s| s.attempt.preempt = false),
     ]
 }
--- a/crates/vanillakeel-bench/src/policy/world.rs
+++ b/crates/vanillakeel-bench/src/policy/world.rs
@@ -117,6 +117,7 @@
     from: u32,
     tokens: u32,
     noted_us: u64,
+    is_cancelled: bool,
 }
 
 struct Engine {
@@ -417,6 +418,7 @@
                         .iter()
                         .rposition(|f| f.instance == instance && f.attempt == attempt);
                     if let Some(flight) = flight {
+                        self.flights[flight].is_cancelled = true;
                         self.soon(HOP_US, Event::Cancel { flight });
                     }
                 }
@@ -466,6 +468,7 @@
             from,
             tokens: 0,
             noted_us: self.now_us,
+            is_cancelled: false,
         });
         let flight = self.flights.len() - 1;
         self.soon(HOP_US, Event::ToEngine { engine, flight });
@@ -561,6 +564,9 @@
     /// A token reaches the instance and, if its attempt is the right one, the caller.
     fn news(&mut self, flight: usize, index: u32, is_last: bool) {
         let f = &mut self.flights[flight];
+        if f.is_cancelled {
+            return;
+        }
         f.tokens += 1;
         let (instance, attempt, tokens) = (f.instance, f.attempt, f.tokens);
         let is_noted = tokens == 1 || tokens % PROGRESS_TOKENS == 0;
@@ -588,7 +594,9 @@
         if is_last {
             fate.is_answered = true;
             let end = End::Answered { tokens: index + 1 };
-            self.routers[instance].on_end(now, attempt, end);
+            if !self.routers[instance].on_end(now, attempt, end) {
+                self.routers[instance].close(now, request as u64 + 1);
+            }
         }
         self.carry_out(instance);
     }
--- a/crates/vanillakeel-entry/src/control/requests.rs
+++ b/crates/vanillakeel-entry/src/control/requests.rs
@@ -77,7 +77,7 @@
     }
 
     pub(super) fn on_end(&mut self, now: Millis, attempt: u64, end: End) {
-        self.router.on_end(now, attempt, end);
+        let was_running = self.router.on_end(now, attempt, end);
         let at = self
             .requests
             .iter()
@@ -86,6 +86,9 @@
         match end {
             End::Answered { .. } => {
                 let request = self.requests.remove(at);
+                if !was_running {
+                    self.router.close(now, request.id);
+                }
                 if let Some(claim) = request.claim {
                     self.claims.outcome(now, claim);
                 }
--- a/crates/vanillakeel-entry/src/metrics.rs
+++ b/crates/vanillakeel-entry/src/metrics.rs
@@ -188,6 +188,7 @@
             ("hedge", now.hedges - last.hedges),
             ("resume", now.resumes - last.resumes),
             ("preempted", now.preempted - last.preempted),
+            ("moved", now.moved - last.moved),
             ("stalled", now.stalled - last.stalled),
             ("late", now.late - last.late),
             ("wasted_tokens", now.wasted_tokens - last.wasted_tokens),
--- a/crates/vanillakeel/src/attempt.rs
+++ b/crates/vanillakeel/src/attempt.rs
@@ -49,6 +49,8 @@
     pub stall_ms: u64,
     /// A call is given up after this long without a first token, in ms.
     pub first_token_stall_ms: u64,
+    /// Whether calls are moved away from an upstream that is ejected for straggling.
+    pub move_away: bool,
     /// Whether low tiers are preempted for protected requests.
     pub preempt: bool,
     /// Retry budget.
@@ -66,6 +68,7 @@
             hedge_after: 0.5,
             stall_ms: 1_000,
             first_token_stall_ms: 10_000,
+            move_away: true,
             preempt: true,
             budget: BudgetSettings::default(),
         }
--- a/crates/vanillakeel/src/router/pump.rs
+++ b/crates/vanillakeel/src/router/pump.rs
@@ -142,6 +142,12 @@
     }
 
     fn preempt_call(&mut self, now: Millis, at: usize, request: u64) {
+        self.counts.preempted += 1;
+        self.take_back(now, at, request);
+    }
+
+    /// Cancels the only attempt of a call and queues it again; it goes on from its last token.
+    fn take_back(&mut self, now: Millis, at: usize, request: u64) {
         let Some(call) = self.calls.get_mut(request) else {
             return;
         };
@@ -153,7 +159,6 @@
         call.tries = call.tries.saturating_sub(1);
         call.queued = true;
         let req = call.req.clone();
-        self.counts.preempted += 1;
         self.pools[at].table.on_end(now, &attempt.upstream);
         self.calls.forget_attempt(attempt.id);
         self.actions.push(Action::Cancel {
@@ -164,6 +169,30 @@
         self.pools[at].queue.requeue(req);
     }
 
+    /// Moves the calls that may be repeated away from a straggling upstream, within the budget.
+    pub(super) fn move_away(&mut self, now: Millis, at: usize, upstream: &str) {
+        let settings = self.settings.attempt;
+        let may_move = |c: &&Call| {
+            let is_there = c.attempts.len() == 1 && *c.attempts[0].upstream == *upstream;
+            let keeps_tokens = c.delivered == 0 || c.can_resume(&settings);
+            is_there && c.req.idempotent && keeps_tokens
+        };
+        let ids: Vec<u64> = self
+            .calls
+            .iter()
+            .filter(may_move)
+            .map(|c| c.req.id)
+            .collect();
+        for id in ids {
+            if !self.settings.attempt.move_away || !self.pools[at].budget.take() {
+                return;
+            }
+            self.counts.moved += 1;
+            self.take_back(now, at, id);
+        }
+        self.pump(now, at);
+    }
+
     /// Does the periodic work; to be called about every 50 ms.
     pub fn tick(&mut self, now: Millis) {
         for at in 0..self.pools.len() {
--- a/crates/vanillakeel/src/router/state.rs
+++ b/crates/vanillakeel/src/router/state.rs
@@ -100,6 +100,8 @@
     pub resumes: u64,
     /// Attempts that were preempted.
     pub preempted: u64,
+    /// Attempts that were moved away from a straggling upstream.
+    pub moved: u64,
     /// Attempts that stalled.
     pub stalled: u64,
     /// Events of attempts that were superseded.
@@ -358,18 +360,21 @@
         a.tokens = a.tokens.max(tokens);
         a.progress = now;
         let upstream = Arc::clone(&a.upstream);
-        if is_step {
-            self.pools[at].table.on_step(now, &upstream, step_ms);
+        if is_step && self.pools[at].table.on_step(now, &upstream, step_ms) {
+            self.move_away(now, at, &upstream);
         }
     }
 
-    /// Takes the end of an attempt.
-    pub fn on_end(&mut self, now: Millis, attempt: u64, end: End) {
+    /// Takes the end of an attempt; returns whether the attempt was in progress.
+    ///
+    /// If it was superseded although its caller has the whole answer, the embedding program ends
+    /// the request with [`Self::close`].
+    pub fn on_end(&mut self, now: Millis, attempt: u64, end: End) -> bool {
         let Some((at, request)) = self.locate(attempt) else {
             if let End::Answered { .. } = end {
                 self.counts.late += 1;
             }
-            return;
+            return false;
         };
         self.calls.forget_attempt(attempt);
         match end {
@@ -389,6 +394,7 @@
             }
         }
         self.pump(now, at);
+        true
     }
 
     fn on_answered(&mut self, now: Millis, at: usize, request: u64, attempt: u64, tokens: u32) {
@@ -455,6 +461,13 @@
 
     /// Takes the news that a caller has gone; what is left of its request is cancelled.
     pub fn on_caller_gone(&mut self, now: Millis, request: u64) {
+        let delivered = self.calls.get_mut(request).map_or(0, |c| c.delivered);
+        self.counts.wasted_tokens += u64::from(delivered);
+        self.close(now, request);
+    }
+
+    /// Ends a request that has its final answer; what is left of it is cancelled.
+    pub fn close(&mut self, now: Millis, request: u64) {
         let Some(call) = self.calls.remove(request) else {
             return;
         };
@@ -462,7 +475,6 @@
             return;
         };
         self.pools[at].queue.remove(request);
-        self.counts.wasted_tokens += u64::from(call.delivered);
         self.cancel_attempts(now, at, &call, None);
         self.pump(now, at);
     }
--- a/crates/vanillakeel/src/routing/health.rs
+++ b/crates/vanillakeel/src/routing/health.rs
@@ -29,6 +29,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Health {
     pub(super) state: State,
+    /// Whether the last ejection was for slow steps, not for a failure.
+    is_straggler: bool,
     ejections: u32,
 }
 
@@ -53,7 +55,18 @@
         }
     }
 
+    /// Whether it is ejected for slow steps.
+    pub(super) fn is_ejected_straggler(&self) -> bool {
+        self.is_ejected() && self.is_straggler
+    }
+
+    pub(super) fn eject_straggler(&mut self, now: Millis) {
+        self.eject(now);
+        self.is_straggler = true;
+    }
+
     pub(super) fn eject(&mut self, now: Millis) {
+        self.is_straggler = false;
         let doublings = self.ejections.min(10);
         let ms = (FIRST_EJECTION_MS << doublings).min(LONGEST_EJECTION_MS);
         self.ejections = self.ejections.saturating_add(1);
--- a/crates/vanillakeel/src/routing/table.rs
+++ b/crates/vanillakeel/src/routing/table.rs
@@ -361,9 +361,11 @@
         self.first_token_ms += SMOOTHING * (ms as f64 - self.first_token_ms);
     }
 
-    /// Takes note of the time of a step, in ms, and ejects the upstream if it straggles.
-    pub fn on_step(&mut self, now: Millis, name: &str, ms: f64) {
-        let Some(at) = self.find(name) else { return };
+    /// Takes note of the time of a step, in ms; returns whether the upstream is ejected for it.
+    pub fn on_step(&mut self, now: Millis, name: &str, ms: f64) -> bool {
+        let Some(at) = self.find(name) else {
+            return false;
+        };
         let u = &mut self.sorted[at];
         u.step_ms = if u.samples == 0 {
             ms
@@ -372,10 +374,12 @@
         };
         u.samples = u.samples.saturating_add(1);
         self.median_step_ms = self.median_step();
-        if self.is_straggler(at) && self.may_eject() {
-            self.sorted[at].health.eject(now);
+        let is_ejected = self.is_straggler(at) && self.may_eject();
+        if is_ejected {
+            self.sorted[at].health.eject_straggler(now);
             self.sorted[at].samples = 0;
         }
+        is_ejected
     }
 
     fn median_step(&self) -> f64 {
@@ -392,9 +396,13 @@
             && u.step_ms > self.median_step_ms * self.settings.straggler_factor
     }
 
+    /// Whether one more straggler may be ejected; those that failed do not count, since they
+    /// leave no choice.
     fn may_eject(&self) -> bool {
         let most = self.sorted.len() as f64 * self.settings.max_ejected;
-        self.settings.ejection && (self.ejected() + 1) as f64 <= most
+        let stragglers = self.sorted.iter().map(|u| u.health.is_ejected_straggler());
+        let ejected = stragglers.filter(|is_ejected| *is_ejected).count();
+        self.settings.ejection && (ejected + 1) as f64 <= most
     }
 
     /// Takes note of a load report.
