--- a/crates/vanillakeel-bench/src/policy/variant.rs
+++ b/crates/vanillakeel-bench/src/policy/variant.rs
@@ -96,6 +96,8 @@
         keel("no-hedge", |s| s.attempt.hedge = false),
         keel("no-resume", |s| s.attempt.resume = false),
         keel("no-ejection", |s| s.routing.ejection = false),
+        keel("window-100", |s| s.routing.straggler_window_ms = 100),
+        keel("window-400", |s| s.routing.straggler_window_ms = 400),
         keel("no-moving", |s| s.attempt.move_away = false),
         keel("no-preemption", |s| s.attempt.preempt = false),
     ]
--- a/crates/vanillakeel/src/routing.rs
+++ b/crates/vanillakeel/src/routing.rs
@@ -16,6 +16,7 @@
 //! ```
 
 mod health;
+mod pace;
 mod prefix;
 mod table;
 
--- a/crates/vanillakeel/src/routing/table.rs
+++ b/crates/vanillakeel/src/routing/table.rs
@@ -2,6 +2,7 @@
 
 use super::{
     health::Health,
+    pace::Pace,
     prefix::Hints, //
 };
 use crate::{
@@ -16,9 +17,6 @@
 /// Smoothing of measured times, share of the newest.
 const SMOOTHING: f64 = 0.2;
 
-/// Samples of a step's time before an upstream is judged by it.
-const MIN_SAMPLES: u32 = 4;
-
 /// Tokens of prompt that weigh as much as one call in flight.
 const PROMPT_TOKENS_PER_CALL: f64 = 512.0;
 
@@ -46,8 +44,10 @@
     pub load_bound: f64,
     /// Age at which a load report counts for half, in ms.
     pub report_half_life_ms: u64,
-    /// An upstream is ejected if its step takes this many times the median.
+    /// An upstream is ejected if its least step takes this many times the median.
     pub straggler_factor: f64,
+    /// Time over which the least step is taken, in ms.
+    pub straggler_window_ms: u64,
     /// Largest share of a pool that is ejected as stragglers.
     pub max_ejected: f64,
     /// Whether upstreams are ejected at all.
@@ -61,6 +61,7 @@
             load_bound: 1.25,
             report_half_life_ms: 1_500,
             straggler_factor: 2.5,
+            straggler_window_ms: 200,
             max_ejected: 0.34,
             ejection: true,
         }
@@ -83,8 +84,7 @@
     slots: u32,
     in_flight: u32,
     report: Option<(Millis, Report, u32)>,
-    step_ms: f64,
-    samples: u32,
+    pace: Pace,
     health: Health,
     hints: Hints,
     leaving: bool,
@@ -142,8 +142,7 @@
                     slots,
                     in_flight: 0,
                     report: None,
-                    step_ms: 0.0,
-                    samples: 0,
+                    pace: Pace::default(),
                     health: Health::default(),
                     hints: Hints::default(),
                     leaving: false,
@@ -291,10 +290,10 @@
 
     /// Step time of an upstream against the median.
     fn slowness(&self, u: &Upstream) -> f64 {
-        if u.samples < MIN_SAMPLES || self.median_step_ms <= 0.0 {
-            return 1.0;
+        match u.pace.mean_ms() {
+            Some(ms) if self.median_step_ms > 0.0 => (ms / self.median_step_ms).max(0.5),
+            _ => 1.0,
         }
-        (u.step_ms / self.median_step_ms).max(0.5)
     }
 
     fn by_prefix(&self, now: Millis, req: &Request, candidates: &[usize]) -> Option<usize> {
@@ -366,34 +365,31 @@
         let Some(at) = self.find(name) else {
             return false;
         };
-        let u = &mut self.sorted[at];
-        u.step_ms = if u.samples == 0 {
-            ms
-        } else {
-            u.step_ms + SMOOTHING * (ms - u.step_ms)
-        };
-        u.samples = u.samples.saturating_add(1);
-        self.median_step_ms = self.median_step();
+        let window_ms = self.settings.straggler_window_ms;
+        self.sorted[at].pace.note(now, ms, window_ms);
+        self.median_step_ms = self.median(|u| u.pace.mean_ms());
         let is_ejected = self.is_straggler(at) && self.may_eject();
         if is_ejected {
             self.sorted[at].health.eject_straggler(now);
-            self.sorted[at].samples = 0;
+            self.sorted[at].pace.clear();
         }
         is_ejected
     }
 
-    fn median_step(&self) -> f64 {
-        let judged = self.sorted.iter().filter(|u| u.samples >= MIN_SAMPLES);
-        let mut steps: Vec<f64> = judged.map(|u| u.step_ms).collect();
-        steps.sort_by(f64::total_cmp);
-        steps.get(steps.len() / 2).copied().unwrap_or(0.0)
+    /// Median over the upstreams that have a value.
+    fn median(&self, value: impl Fn(&Upstream) -> Option<f64>) -> f64 {
+        let mut values: Vec<f64> = self.sorted.iter().filter_map(value).collect();
+        values.sort_by(f64::total_cmp);
+        values.get(values.len() / 2).copied().unwrap_or(0.0)
     }
 
     fn is_straggler(&self, at: usize) -> bool {
         let u = &self.sorted[at];
-        u.samples >= MIN_SAMPLES
-            && !u.health.is_ejected()
-            && u.step_ms > self.median_step_ms * self.settings.straggler_factor
+        let Some(least_ms) = u.pace.least_ms() else {
+            return false;
+        };
+        let median_ms = self.median(|u| u.pace.least_ms());
+        !u.health.is_ejected() && least_ms > median_ms * self.settings.straggler_factor
     }
 
     /// Whether one more straggler may be ejected; those that failed do not count, since they
