--- a/crates/vanillakeel-bench/src/main.rs
+++ b/crates/vanillakeel-bench/src/main.rs
@@ -1,80 +1,11 @@
-//! Load and experiment tool.
+//! Load and experiment tool as a process.
 
-mod load;
-mod policy;
-mod quickstart;
-mod rig;
-
-use clap::{
-    Arg,
-    ArgAction,
-    ArgMatches,
-    Command,
-    value_parser, //
-};
-use std::{
-    error::Error,
-    process::ExitCode, //
+use std::process::ExitCode;
+use vanillakeel_bench::{
+    command,
+    run, //
 };
 
-fn json() -> Arg {
-    Arg::new("json")
-        .long("json")
-        .action(ArgAction::SetTrue)
-        .help("Print one JSON object, last on standard output")
-}
-
-fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
-    Arg::new(name)
-        .long(name)
-        .value_name("N")
-        .default_value(default)
-        .value_parser(value_parser!(u64).range(1..))
-        .help(help)
-}
-
-fn command() -> Command {
-    Command::new("vanillakeel-bench")
-        .about("Load and experiment tool")
-        .version(env!("CARGO_PKG_VERSION"))
-        .subcommand_required(true)
-        .subcommand(
-            Command::new("quickstart")
-                .about("Run the whole path over loopback with a mixed load and a burst")
-                .arg(json())
-                .arg(number("seed", "1", "Seed of the load"))
-                .arg(number("seconds", "12", "Length of the load in seconds")),
-        )
-        .subcommand(policy::command())
-}
-
-fn value(args: &ArgMatches, name: &str) -> u64 {
-    args.get_one(name).copied().unwrap_or(1)
-}
-
-fn run_quickstart(args: &ArgMatches) -> Result<bool, Box<dyn Error>> {
-    let report = quickstart::run(value(args, "seed"), value(args, "seconds"))?;
-    if args.get_flag("json") {
-        println!("{}", serde_json::to_string(&report)?);
-    } else {
-        print!("{report}");
-    }
-    Ok(report.is_sound())
-}
-
 fn main() -> ExitCode {
-    let matches = command().get_matches();
-    let done = match matches.subcommand() {
-        Some(("quickstart", args)) => run_quickstart(args),
-        Some(("policy", args)) => policy::run(args),
-        _ => Ok(true),
-    };
-    match done {
-        Ok(true) => ExitCode::SUCCESS,
-        Ok(false) => ExitCode::FAILURE,
-        Err(e) => {
-            eprintln!("vanillakeel-bench: {e}");
-            ExitCode::FAILURE
-        }
-    }
+    run(&command().get_matches())
 }
--- a/crates/vanillakeel-bench/src/policy/command.rs
+++ b/crates/vanillakeel-bench/src/policy/command.rs
@@ -82,7 +82,7 @@
                 .value_parser(value_parser!(PathBuf))
                 .help("Folder for an SVG plot of each scenario"),
         )
-        .arg(super::super::json())
+        .arg(crate::json())
 }
 
 fn chosen<'a, T>(
