fix(configuration): write one checkpoint a round

Two reasons: the schedule never trimmed, since it told the slice that nothing was at risk, and read too few records to catch up with a growing log; and the slice's first instance wrote a checkpoint at each tick once it did.

Conclusion: a due time in place of two compared ages; a test keeps it.

--- a/crates/vanillakeel-bench/src/faults/texts.rs
+++ b/crates/vanillakeel-bench/src/faults/texts.rs
@@ -155,7 +155,7 @@
 
     /// An instance reads a part of the log and does its periodic work.
     fn work(&mut self, at: usize) {
-        let most = self.random.below(8) as usize;
+        let most = self.random.below(40) as usize;
         let instance = &mut self.instances[at];
         if instance.is_paused {
             return;
@@ -170,8 +170,7 @@
                 .configuration
                 .on_records(self.now, first, &records, next);
         }
-        let middle = (self.log.first() + self.log.end()) / 2;
-        let at_risk = if self.log.first() == 0 { 0 } else { middle };
+        let at_risk = (self.log.first() + self.log.end()) / 2;
         instance.configuration.tick(self.now, at_risk);
         let actions: Vec<Action> = instance.configuration.drain().collect();
         let is_cut = instance.is_cut;
--- a/crates/vanillakeel/src/configuration/state.rs
+++ b/crates/vanillakeel/src/configuration/state.rs
@@ -57,7 +57,7 @@
     open: Vec<Open>,
     peers: Vec<Arc<str>>,
     checkpointed: u64,
-    checkpoint_sent: Option<Millis>,
+    checkpoint_due: Option<Millis>,
     checks_base: bool,
     actions: Vec<Action>,
 }
@@ -75,7 +75,7 @@
             open: Vec::new(),
             peers: vec![Arc::from(me)],
             checkpointed: 0,
-            checkpoint_sent: None,
+            checkpoint_due: None,
             checks_base: true,
             actions: Vec::new(),
         }
@@ -133,7 +133,7 @@
             self.fold.apply(*offset, record);
             if let Record::Checkpoint(checkpoint) = record {
                 self.checkpointed = self.checkpointed.max(checkpoint.folded_to);
-                self.checkpoint_sent = None;
+                self.checkpoint_due = None;
             }
         }
         self.fold.skip_to(next);
@@ -235,14 +235,14 @@
         if behind < CHECKPOINT_EVERY_RECORDS && !at_risk {
             return;
         }
-        let wait = REPEAT_MS * (1 + self.rank("checkpoint") as u64);
-        let since = *self.checkpoint_sent.get_or_insert(now);
-        let is_turn = now.since(since) + REPEAT_MS >= wait;
-        if !is_turn {
+        let turn = REPEAT_MS * self.rank("checkpoint") as u64;
+        let due = *self.checkpoint_due.get_or_insert(now.plus(turn));
+        if now < due {
             return;
         }
         if let Some(checkpoint) = self.fold.checkpoint() {
-            self.checkpoint_sent = Some(now.plus(REPEAT_MS * self.peers.len() as u64));
+            let round = REPEAT_MS * self.peers.len() as u64;
+            self.checkpoint_due = Some(now.plus(round));
             self.actions
                 .push(Action::Append(Record::Checkpoint(checkpoint)));
         }
--- /dev/null
+++ b/crates/vanillakeel/tests/text_versions.rs
@@ -0,0 +1,134 @@
+//! Which text is in force: rulings, races, checkpoints and what peers say.
+
+use rstest::rstest;
+use vanillakeel::{
+    Millis,
+    configuration::{
+        Action,
+        Checkpoint,
+        Configuration,
+        Edit,
+        Outcome,
+        Record,
+        Ruling, //
+    },
+};
+
+type Check = fn(&str) -> Result<(), String>;
+
+fn configuration() -> Configuration<Check> {
+    Configuration::new("a", |text| {
+        if text == "bad" {
+            Err("not good".to_owned())
+        } else {
+            Ok(())
+        }
+    })
+}
+
+fn edit(id: u128, base: u64, text: &str) -> Record {
+    Record::Edit(Edit {
+        id,
+        base,
+        text: text.into(),
+        author: "operator".into(),
+    })
+}
+
+fn ruling(edit: u128, base: u64, accepted: bool, text: &str) -> Record {
+    Record::Ruling(Ruling {
+        edit,
+        base,
+        accepted,
+        text: text.into(),
+        reason: "".into(),
+    })
+}
+
+fn checkpoint(version: u64, text: &str, folded_to: u64) -> Record {
+    Record::Checkpoint(Checkpoint {
+        version,
+        text: text.into(),
+        folded_to,
+        ruled: Vec::new(),
+    })
+}
+
+fn read(cfg: &mut Configuration<Check>, first: u64, start: u64, records: &[Record]) {
+    let numbered: Vec<(u64, Record)> = (start..).zip(records.iter().cloned()).collect();
+    let next = start + records.len() as u64;
+    cfg.on_records(Millis::ZERO, first, &numbered, next);
+}
+
+#[rstest]
+#[case::first_ruling_binds(&[edit(1, 0, "x"), ruling(1, 0, false, ""), ruling(1, 0, true, "x")], 0, "")]
+#[case::accepted(&[edit(1, 0, "x"), ruling(1, 0, true, "x")], 2, "x")]
+#[case::second_racer_refused(&[ruling(1, 0, true, "x"), ruling(2, 0, true, "y")], 1, "x")]
+#[case::chain(&[ruling(1, 0, true, "x"), ruling(2, 1, true, "y")], 2, "y")]
+#[case::repeated_ruling(&[ruling(1, 0, true, "x"), ruling(1, 0, true, "x")], 1, "x")]
+fn folded_version(#[case] records: &[Record], #[case] version: u64, #[case] text: &str) {
+    let mut cfg = configuration();
+    read(&mut cfg, 0, 0, records);
+    assert_eq!((cfg.version(), &**cfg.text()), (version, text));
+}
+
+#[rstest]
+#[case::trusted(checkpoint(7, "x", 20), 20, 7)]
+#[case::stale(checkpoint(7, "x", 19), 20, 0)]
+fn checkpoint_base(#[case] record: Record, #[case] first: u64, #[case] version: u64) {
+    let mut cfg = configuration();
+    read(&mut cfg, first, first, &[record]);
+    assert_eq!(cfg.version(), version);
+}
+
+#[test]
+fn stale_checkpoint_after_edit() {
+    let mut cfg = configuration();
+    let records = [ruling(2, 7, true, "y"), checkpoint(7, "x", 20)];
+    read(&mut cfg, 20, 20, &records);
+    assert_eq!((cfg.version(), &**cfg.text()), (21, "y"));
+}
+
+#[test]
+fn loser_told_why() {
+    let mut cfg = configuration();
+    let records = [ruling(1, 0, true, "x"), ruling(2, 0, true, "y")];
+    read(&mut cfg, 0, 0, &records);
+    let outcome = cfg.fold().outcome(2);
+    assert_eq!(outcome, Some(&Outcome::Overtaken { by: 1 }));
+}
+
+#[rstest]
+#[case::good("x", true)]
+#[case::bad("bad", false)]
+fn edit_ruled(#[case] text: &str, #[case] accepted: bool) {
+    let mut cfg = configuration();
+    read(&mut cfg, 0, 0, &[edit(1, 0, text)]);
+    cfg.tick(Millis::ZERO, 0);
+    let actions: Vec<Action> = cfg.drain().collect();
+    let [Action::Append(Record::Ruling(ruling))] = actions.as_slice() else {
+        panic!("{actions:?}");
+    };
+    assert_eq!(ruling.accepted, accepted);
+}
+
+#[test]
+fn peers_raise_only() {
+    let mut cfg = configuration();
+    cfg.on_peer(5, "newer");
+    cfg.on_peer(3, "older");
+    assert_eq!((cfg.version(), &**cfg.text()), (5, "newer"));
+    read(&mut cfg, 0, 0, &[ruling(1, 0, true, "x")]);
+    assert_eq!(cfg.version(), 5);
+}
+
+/// Found by schedules of 20000 steps: one instance wrote a checkpoint at each tick.
+#[test]
+fn one_checkpoint_a_round() {
+    let mut cfg = configuration();
+    read(&mut cfg, 0, 0, &[ruling(1, 0, true, "x")]);
+    let ticks = (0..100).map(|t| Millis::new(t * 19));
+    ticks.for_each(|now| cfg.tick(now, 1));
+    let appends = cfg.drain().filter(|a| matches!(a, Action::Append(_)));
+    assert_eq!(appends.count(), 1);
+}
