--- a/crates/vanillakeel-bench/src/lib.rs
+++ b/crates/vanillakeel-bench/src/lib.rs
@@ -9,10 +9,15 @@
 //! ```
 
 pub mod faults;
-mod load;
+pub mod load;
 mod policy;
 mod quickstart;
-mod rig;
+pub mod rig;
+
+pub use self::quickstart::{
+    CLASSES,
+    TEXT, //
+};
 
 use clap::{
     Arg,
--- a/crates/vanillakeel-bench/src/load.rs
+++ b/crates/vanillakeel-bench/src/load.rs
@@ -1,4 +1,12 @@
 //! The load tool: callers that send requests at given times and check their answers.
+//!
+//! ```
+//! use std::time::Duration;
+//! use vanillakeel_bench::{CLASSES, load};
+//!
+//! let planned = load::plan(&CLASSES, Duration::from_secs(1), 7);
+//! assert!(planned.iter().all(|p| p.at < Duration::from_secs(1)));
+//! ```
 
 use std::{
     net::SocketAddr,
@@ -33,43 +41,60 @@
 
 /// One kind of load.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) struct Class {
-    pub(crate) name: &'static str,
-    pub(crate) tier: u8,
-    pub(crate) target_ms: u64,
-    pub(crate) between_ms: f64,
-    pub(crate) per_second: f64,
+pub struct Class {
+    /// The class in the text.
+    pub name: &'static str,
+    /// Priority, zero is the highest.
+    pub tier: u8,
+    /// Time to the first token, in ms.
+    pub target_ms: u64,
+    /// Mean time between two tokens, in ms.
+    pub between_ms: f64,
+    /// Requests a second.
+    pub per_second: f64,
     /// Factor on the rate in the middle third of a run.
-    pub(crate) burst: f64,
+    pub burst: f64,
     /// Path of a plain service; none for the model.
-    pub(crate) path: Option<&'static str>,
-    pub(crate) is_idempotent: bool,
-    pub(crate) max_tokens: u32,
-    pub(crate) prompt_bytes: usize,
+    pub path: Option<&'static str>,
+    /// Whether it may run more than once; if not, it comes with a key.
+    pub is_idempotent: bool,
+    /// Most tokens of an answer.
+    pub max_tokens: u32,
+    /// Length of a prompt.
+    pub prompt_bytes: usize,
     /// Different beginnings of prompts; few of them make good use of prefix caches.
-    pub(crate) prefixes: u64,
+    pub prefixes: u64,
 }
 
 /// A request to be sent.
 #[derive(Clone, Debug)]
-pub(crate) struct Planned {
-    pub(crate) class: usize,
-    pub(crate) at: Duration,
-    pub(crate) tag: String,
-    pub(crate) workspace: u64,
-    pub(crate) prefix: u64,
-    pub(crate) key: Option<String>,
+pub struct Planned {
+    /// Place of its class in the list of classes.
+    pub class: usize,
+    /// When it is sent, from the start.
+    pub at: Duration,
+    /// First word of its prompt, unique.
+    pub tag: String,
+    /// Number of its workspace.
+    pub workspace: u64,
+    /// Beginning of its prompt.
+    pub prefix: u64,
+    /// Its idempotency key.
+    pub key: Option<String>,
     /// Whether it is sent again, with the same key, to another instance.
-    pub(crate) is_repeated: bool,
+    pub is_repeated: bool,
 }
 
 /// What a caller saw.
 #[derive(Clone, Debug, PartialEq)]
-pub(crate) enum Seen {
+pub enum Seen {
     /// A whole answer.
     Answered {
+        /// Time to the first token, in ms.
         first_ms: f64,
+        /// Mean time between two tokens, in ms.
         between_ms: f64,
+        /// Tokens of the answer.
         tokens: u32,
     },
     /// A refusal or a broken answer with a verdict.
@@ -82,15 +107,18 @@
 
 /// A request with what its caller saw.
 #[derive(Clone, Debug)]
-pub(crate) struct Outcome {
-    pub(crate) planned: Planned,
-    pub(crate) seen: Seen,
+pub struct Outcome {
+    /// The request.
+    pub planned: Planned,
+    /// What the caller saw of it.
+    pub seen: Seen,
     /// What the caller saw of the repeat, if there was one.
-    pub(crate) repeat: Option<Seen>,
+    pub repeat: Option<Seen>,
 }
 
 /// Plans the arrivals of a run, those of each class as a Poisson process.
-pub(crate) fn plan(classes: &[Class], length: Duration, seed: u64) -> Vec<Planned> {
+#[must_use]
+pub fn plan(classes: &[Class], length: Duration, seed: u64) -> Vec<Planned> {
     let mut random = Random::new(seed);
     let mut planned = Vec::new();
     let total = length.as_secs_f64();
@@ -120,7 +148,8 @@
 }
 
 /// Sends the planned requests to the instances in turn; returns what the callers saw.
-pub(crate) fn run(
+#[must_use]
+pub fn run(
     classes: &[Class],
     planned: &[Planned],
     instances: &Arc<Mutex<Vec<SocketAddr>>>,
@@ -183,7 +212,8 @@
 }
 
 /// Sends one request straight to an address and checks the answer.
-pub(crate) fn call(class: &Class, planned: &Planned, to: SocketAddr, model: &str) -> Seen {
+#[must_use]
+pub fn call(class: &Class, planned: &Planned, to: SocketAddr, model: &str) -> Seen {
     let prompt = prompt(class, planned);
     let path = class.path.unwrap_or("/v1/chat/completions");
     let body = match class.path {
@@ -245,9 +275,8 @@
     max_tokens: u32,
     start: Instant,
 ) -> Seen {
-    let mut tokens = 0;
     let mut first_ms = 0.0;
-    for event in Events::new(reader) {
+    for (tokens, event) in (0..).zip(Events::new(reader)) {
         let Ok(data) = event else { return Seen::Lost };
         if data == "[DONE]" {
             if tokens != answer_tokens(prompt, max_tokens) {
@@ -271,7 +300,6 @@
         if piece != Some(token_text(prompt, tokens).as_str()) {
             return Seen::Crossed;
         }
-        tokens += 1;
     }
     Seen::Lost
 }
--- a/crates/vanillakeel-bench/src/quickstart.rs
+++ b/crates/vanillakeel-bench/src/quickstart.rs
@@ -25,7 +25,6 @@
 use std::{
     error::Error,
     io::IsTerminal as _,
-    net::SocketAddr,
     sync::{
         Arc,
         Mutex, //
@@ -34,10 +33,10 @@
 };
 
 /// The text of a quickstart, without its upstreams.
-pub(crate) const TEXT: &str = include_str!("quickstart/text.toml");
+pub const TEXT: &str = include_str!("quickstart/text.toml");
 
 /// The load of a quickstart; `review` comes in a burst over capacity.
-pub(crate) const CLASSES: [Class; 5] = [
+pub const CLASSES: [Class; 5] = [
     Class {
         name: "validity",
         tier: 0,
@@ -109,8 +108,7 @@
 pub(crate) fn run(seed: u64, seconds: u64) -> Result<Report, Box<dyn Error>> {
     let mut rig = Rig::start(Options::default(), TEXT)?;
     let planned = load::plan(&CLASSES, Duration::from_secs(seconds), seed);
-    let addresses: Vec<SocketAddr> = rig.instances.iter().map(|i| i.callers()).collect();
-    let instances = Arc::new(Mutex::new(addresses));
+    let instances = Arc::new(Mutex::new(rig.callers()));
     let bar = progress(planned.len());
     let outcomes = load::run(&CLASSES, &planned, &instances, MODEL, |at| {
         bar.set_position(at as u64 + 1);
--- a/crates/vanillakeel-bench/src/rig.rs
+++ b/crates/vanillakeel-bench/src/rig.rs
@@ -1,4 +1,12 @@
 //! Stand-ins and instances over loopback in one process.
+//!
+//! ```no_run
+//! use vanillakeel_bench::rig::{Options, Rig};
+//!
+//! let rig = Rig::start(Options::default(), vanillakeel_bench::TEXT)?;
+//! assert_eq!(rig.callers().len(), 2);
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
 
 use std::{
     error::Error,
@@ -48,20 +56,26 @@
 };
 
 /// Name of the model that the engines hold.
-pub(crate) const MODEL: &str = "deed-writer";
+pub const MODEL: &str = "deed-writer";
 
 /// Time for all instances to have the text in force.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// What a rig is made of.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Options {
-    pub(crate) instances: usize,
-    pub(crate) engines: usize,
-    pub(crate) plains: usize,
-    pub(crate) batch: batch::Settings,
-    pub(crate) work_ms: u64,
-    pub(crate) balancer_delay_ms: u64,
+pub struct Options {
+    /// Entry instances at the start.
+    pub instances: usize,
+    /// Model engines.
+    pub engines: usize,
+    /// Plain services.
+    pub plains: usize,
+    /// Batching of the engines.
+    pub batch: batch::Settings,
+    /// Time that a plain service takes for a call, in ms.
+    pub work_ms: u64,
+    /// Time for which a stopping instance takes new requests, in ms.
+    pub balancer_delay_ms: u64,
 }
 
 impl Default for Options {
@@ -78,15 +92,23 @@
 }
 
 /// Stand-ins and instances.
-pub(crate) struct Rig {
-    pub(crate) options: Options,
-    pub(crate) ledger: Ledger,
-    pub(crate) log: Log,
-    pub(crate) list: List,
-    pub(crate) weights: Weights,
-    pub(crate) engines: Vec<Engine>,
-    pub(crate) plains: Vec<Plain>,
-    pub(crate) instances: Vec<Instance>,
+#[derive(Debug)]
+pub struct Rig {
+    options: Options,
+    /// What the stand-ins have run.
+    pub ledger: Ledger,
+    /// The log service.
+    pub log: Log,
+    /// The instance list.
+    pub list: List,
+    /// The weight store.
+    pub weights: Weights,
+    /// Model engines.
+    pub engines: Vec<Engine>,
+    /// Plain services.
+    pub plains: Vec<Plain>,
+    /// Entry instances, with those that were started last at the end.
+    pub instances: Vec<Instance>,
     folder: PathBuf,
     started: usize,
 }
@@ -97,7 +119,11 @@
 
 impl Rig {
     /// Starts everything and publishes `text`, to which pools' upstreams are added.
-    pub(crate) fn start(options: Options, text: &str) -> Result<Self, Box<dyn Error>> {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an address is taken or the text does not come into force.
+    pub fn start(options: Options, text: &str) -> Result<Self, Box<dyn Error>> {
         let ledger = Ledger::default();
         let log = Log::start(any(), log::Settings::default())?;
         let list = List::start(any(), 200)?;
@@ -150,8 +176,15 @@
         Ok(())
     }
 
+    /// Where callers reach the instances.
+    #[must_use]
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        self.instances.iter().map(Instance::callers).collect()
+    }
+
     /// The text with the addresses of the rig's upstreams.
-    pub(crate) fn with_upstreams(&self, text: &str) -> String {
+    #[must_use]
+    pub fn with_upstreams(&self, text: &str) -> String {
         let mut text = text.to_owned();
         let slots = self.options.batch.slots;
         for (at, engine) in self.engines.iter().enumerate() {
@@ -193,7 +226,11 @@
     }
 
     /// Starts one more instance and puts it onto the list.
-    pub(crate) fn add_instance(&mut self) -> Result<(), Box<dyn Error>> {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an address is taken.
+    pub fn add_instance(&mut self) -> Result<(), Box<dyn Error>> {
         self.started += 1;
         let settings = self.settings(&format!("entry-{}", self.started))?;
         self.instances.push(Instance::start(settings)?);
@@ -201,25 +238,39 @@
         Ok(())
     }
 
-    /// Shows the present instances on the list.
-    pub(crate) fn set_list(&self) {
+    /// The present instances as the list shows them.
+    #[must_use]
+    pub fn items(&self) -> Vec<Item> {
         let first = self.started - self.instances.len() + 1;
-        let items = self
-            .instances
-            .iter()
-            .enumerate()
-            .map(|(at, instance)| Item {
-                name: format!("entry-{}", first + at),
-                kind: "entry".to_owned(),
-                address: instance.peers().to_string(),
-                data_centre: "dc-1".to_owned(),
-                generation: 1,
-                leaving: false,
-            });
-        self.list.set(&items.collect::<Vec<_>>());
+        let item = |(at, instance): (usize, &Instance)| Item {
+            name: format!("entry-{}", first + at),
+            kind: "entry".to_owned(),
+            address: instance.peers().to_string(),
+            data_centre: "dc-1".to_owned(),
+            generation: 1,
+            leaving: false,
+        };
+        self.instances.iter().enumerate().map(item).collect()
+    }
+
+    /// Shows the present instances on the list.
+    pub fn set_list(&self) {
+        self.list.set(&self.items());
+    }
+
+    /// The status page of an instance.
+    #[must_use]
+    pub fn status(&self, instance: usize) -> String {
+        let page = get(self.instances[instance].operators(), "/status");
+        page.map_or_else(String::new, |(_, page)| page)
     }
 
-    pub(crate) fn publish(&self, text: &str) -> Result<u64, Box<dyn Error>> {
+    /// Publishes a text; returns its version.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the text does not come into force.
+    pub fn publish(&self, text: &str) -> Result<u64, Box<dyn Error>> {
         let log = Client::new(self.log.address());
         match publish(&log, text, None, "bench", READY_TIMEOUT)? {
             Published::InForce(version) => Ok(version),
@@ -228,7 +279,11 @@
     }
 
     /// Waits until all instances are ready.
-    pub(crate) fn wait_ready(&self) -> Result<(), Box<dyn Error>> {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if one is not ready after 20 s.
+    pub fn wait_ready(&self) -> Result<(), Box<dyn Error>> {
         let start = Instant::now();
         for instance in &self.instances {
             while !is_ready(instance.operators()) {
@@ -241,8 +296,9 @@
         Ok(())
     }
 
-    /// Sum of a metric over all instances.
-    pub(crate) fn metric(&self, line_start: &str) -> f64 {
+    /// Sum of a metric over all instances; `line_start` is how its lines start.
+    #[must_use]
+    pub fn metric(&self, line_start: &str) -> f64 {
         self.instances
             .iter()
             .map(|i| metric(i.operators(), line_start))
@@ -250,7 +306,7 @@
     }
 
     /// Stops all instances as planned.
-    pub(crate) fn stop(&mut self) {
+    pub fn stop(&mut self) {
         for instance in &self.instances {
             instance.stop();
         }
--- a/crates/vanillakeel-standin/src/engine/state.rs
+++ b/crates/vanillakeel-standin/src/engine/state.rs
@@ -166,6 +166,18 @@
         &self.state.faults
     }
 
+    /// Sequences that run.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.state.lock().batch.running()
+    }
+
+    /// Completions taken so far.
+    #[must_use]
+    pub fn taken(&self) -> u64 {
+        self.state.lock().last_id
+    }
+
     /// Models that it holds.
     #[must_use]
     pub fn models(&self) -> Vec<String> {
