--- a/crates/vanillakeel-standin/src/engine/answer.rs
+++ b/crates/vanillakeel-standin/src/engine/answer.rs
@@ -89,6 +89,10 @@
     let header = |name| reply::header(&req, name).unwrap_or_default();
     let attempt = header("x-attempt-id");
     let from = header("x-resume-from").parse().unwrap_or(0);
+    if from >= answer_tokens(&prompt, asked.max_tokens) {
+        nothing_left(req, asked.stream, from);
+        return;
+    }
     let Some(tokens) = enqueue(state, &asked, &prompt, attempt, from) else {
         reply::json(req, 429, &json!({"error": {"message": "too many wait"}}));
         return;
@@ -100,6 +104,21 @@
     }
 }
 
+/// Ends an answer that the caller has all tokens of.
+fn nothing_left(req: Request, is_stream: bool, from: u32) {
+    let end = json!({
+        "choices": [{"index": 0, "delta": {}, "finish_reason": "stop"}],
+        "usage": {"completion_tokens": from, "resumed_from": from},
+    });
+    if !is_stream {
+        reply::json(req, 200, &end);
+        return;
+    }
+    let head = Head::new(200).header("Content-Type", "text/event-stream");
+    let events = format!("data: {end}\n\ndata: [DONE]\n\n");
+    let _ = head.respond(req, events.as_bytes());
+}
+
 /// Puts a request into the batch; none if too many wait.
 fn enqueue(
     state: &State,
--- /dev/null
+++ b/crates/vanillakeel-standin/tests/interfaces.rs
@@ -0,0 +1,152 @@
+//! Contracts of the interfaces that the router relies on.
+
+use rstest::rstest;
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+use vanillakeel_http::{
+    Events,
+    Method,
+    client, //
+};
+use vanillakeel_standin::{
+    Fault, Ledger, answer_tokens,
+    engine::{
+        self,
+        Engine, //
+    },
+    list::{
+        Item,
+        List, //
+    },
+    log::{
+        self,
+        Log, //
+    },
+};
+use vanillakeel_wire::{
+    Message as _,
+    generated::LogPage, //
+};
+
+const PATIENCE: Duration = Duration::from_secs(20);
+const PROMPT: &str = "deed-4 for a tender";
+
+fn any() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn post(address: SocketAddr, path: &str, body: &str) -> (u16, String) {
+    let url = format!("http://{address}{path}");
+    let answer = client(Method::POST, &url, PATIENCE).text(body).send();
+    let answer = answer.expect("an answer");
+    (answer.status().as_u16(), answer.text().unwrap_or_default())
+}
+
+fn page(log: &Log, from: u64) -> LogPage {
+    let url = format!("http://{}/records?from={from}&wait_ms=0", log.address());
+    let answer = client(Method::GET, &url, PATIENCE)
+        .send()
+        .expect("an answer");
+    LogPage::decode(answer.bytes().expect("a body").as_slice()).expect("a page")
+}
+
+fn engine(checks_fencing: bool) -> Engine {
+    let settings = engine::Settings {
+        models: vec!["writer".to_owned()],
+        checks_fencing,
+        ..engine::Settings::default()
+    };
+    Engine::start(any(), &Ledger::default(), settings).expect("an engine")
+}
+
+#[test]
+fn log_offsets_and_retention() {
+    let log = Log::start(any(), log::Settings::default()).expect("a log");
+    for n in 0..3 {
+        let answer = post(log.address(), "/append", &format!("record {n}"));
+        assert_eq!(answer, (200, n.to_string()));
+    }
+    log.trim(2);
+    let page = page(&log, 0);
+    assert_eq!((page.first, page.end), (2, 3));
+    assert_eq!(page.entries[0].offset, 2);
+    assert_eq!(page.entries[0].body, b"record 2");
+}
+
+#[rstest]
+#[case::outage(Fault { outage: true, ..Fault::default() }, 503, 0)]
+#[case::answer_lost(Fault { lose_answers: 1, ..Fault::default() }, 504, 1)]
+fn log_faults(#[case] fault: Fault, #[case] status: u16, #[case] written: u64) {
+    let log = Log::start(any(), log::Settings::default()).expect("a log");
+    log.faults().set(fault);
+    assert_eq!(post(log.address(), "/append", "record").0, status);
+    assert_eq!(log.appends(), written);
+}
+
+fn events(engine: &Engine, from: u32) -> Vec<String> {
+    let body = serde_json::json!({
+        "model": "writer", "stream": true, "max_tokens": 200, "prompt": PROMPT,
+    });
+    let url = format!("http://{}/v1/completions", engine.address());
+    let answer = client(Method::POST, &url, PATIENCE)
+        .header("x-resume-from", from)
+        .text(body.to_string())
+        .send();
+    let (_, _, reader) = answer.expect("an answer").split();
+    Events::new(reader).map(|e| e.expect("an event")).collect()
+}
+
+#[rstest]
+#[case::whole(0)]
+#[case::resumed(3)]
+#[case::nothing_left(u32::MAX)]
+fn engine_streams(#[case] from: u32) {
+    let engine = engine(true);
+    let length = answer_tokens(PROMPT, 200);
+    let from = from.min(length);
+    let events = events(&engine, from);
+    assert_eq!(events.last().map(String::as_str), Some("[DONE]"));
+    let tokens = events.iter().filter(|e| e.contains("deed-4:"));
+    assert_eq!(tokens.count() as u32, length - from);
+}
+
+#[rstest]
+#[case::checked(true, 409)]
+#[case::ignored(false, 200)]
+fn engine_fencing(#[case] checks_fencing: bool, #[case] old_order: u16) {
+    let engine = engine(checks_fencing);
+    let order = |fencing: u64| {
+        let body = serde_json::json!({"change": "load", "model": "other", "fencing": fencing});
+        post(engine.address(), "/orders", &body.to_string()).0
+    };
+    assert_eq!(order(9), 200);
+    assert_eq!(order(8), old_order);
+}
+
+#[test]
+fn engine_refuses_unknown_model() {
+    let engine = engine(true);
+    let body = "{\"model\": \"other\", \"prompt\": \"x\"}";
+    assert_eq!(post(engine.address(), "/v1/completions", body).0, 404);
+    assert_eq!(post(engine.address(), "/v1/completions", "{").0, 400);
+}
+
+#[test]
+fn list_lags() {
+    let list = List::start(any(), 60_000).expect("a list");
+    list.set(&[Item {
+        name: "runner-1".to_owned(),
+        kind: "upstream".to_owned(),
+        address: "127.0.0.1:1".to_owned(),
+        data_centre: "dc-1".to_owned(),
+        generation: 1,
+        leaving: false,
+    }]);
+    let url = format!("http://{}/instances", list.address());
+    let answer = client(Method::GET, &url, PATIENCE)
+        .send()
+        .expect("an answer");
+    assert_eq!(answer.text().expect("a body"), "[]");
+}
--- a/crates/vanillakeel/src/share.rs
+++ b/crates/vanillakeel/src/share.rs
@@ -8,7 +8,7 @@
 //! ```
 //! use vanillakeel::{share::{Mode, Settings, Share}, Millis};
 //!
-//! let mut share = Share::new("pool", "a", Settings { mode: Mode::Even, ..Settings::default() });
+//! let mut share = Share::new("pool", "a", Settings { mode: Mode::Even, fill: 1.0, ..Settings::default() });
 //! share.set_peers(["a", "b"].into_iter());
 //! assert_eq!(share.limit(Millis::ZERO, 32), 16);
 //! ```
