fix(entry): count only events that carry text where a stream is resumed

Cause: found on reading: an engine that opens its stream with a role, or ends it with a reason in an event of its own, would have shifted the token from which a broken stream goes on, and lost one to the caller.

Measured: a table of six forms of events; the resumed streams on sockets pass as before.

Conclusion: an event counts if it has text.

--- a/crates/vanillakeel-entry/src/caller/answer.rs
+++ b/crates/vanillakeel-entry/src/caller/answer.rs
@@ -275,8 +275,11 @@
             self.tell(Input::Wasted { tokens: 1 });
             return Flow::Continue;
         }
-        self.delivered += 1;
-        self.shared.metrics.tokens.inc();
+        let is_token = carries_token(&data);
+        if is_token {
+            self.delivered += 1;
+            self.shared.metrics.tokens.inc();
+        }
         let given = if self.wants_stream {
             self.give_event(&data)
         } else {
@@ -287,7 +290,9 @@
             self.on_caller_gone();
             return Flow::Over;
         }
-        self.note_progress(attempt);
+        if is_token {
+            self.note_progress(attempt);
+        }
         Flow::Continue
     }
 
@@ -465,6 +470,32 @@
     }
 }
 
+/// Whether an event has text; the one that opens a stream with a role, and the one that ends it
+/// with a reason, have none and don't count where a stream is resumed.
+fn carries_token(data: &str) -> bool {
+    ["\"content\":", "\"text\":"].iter().any(|key| {
+        let rest = data.split_once(key).map(|(_, rest)| rest.trim_start());
+        rest.is_some_and(|r| r.starts_with('"') && !r.starts_with("\"\""))
+    })
+}
+
 const fn failed(verdict: Verdict, delivered: u32) -> End {
     End::Failed { verdict, delivered }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::carries_token;
+    use rstest::rstest;
+
+    #[rstest]
+    #[case::token(r#"{"choices":[{"delta":{"content":"a"}}]}"#, true)]
+    #[case::spaced(r#"{"choices": [{"delta": {"content": "a"}}]}"#, true)]
+    #[case::text(r#"{"choices":[{"text":"a"}]}"#, true)]
+    #[case::role(r#"{"choices":[{"delta":{"role":"assistant","content":""}}]}"#, false)]
+    #[case::end(r#"{"choices":[{"delta":{},"finish_reason":"stop"}]}"#, false)]
+    #[case::none(r#"{"choices":[{"delta":{"content":null}}]}"#, false)]
+    fn tokens_counted(#[case] data: &str, #[case] expected: bool) {
+        assert_eq!(carries_token(data), expected);
+    }
+}
