feat(bench): measure slopes of control against size

Cause: the page on capacity needs cost against instances, upstreams, workspaces, requests, streams and claims.

Conclusion: threads carry names, so that control can be told from traffic.

--- a/crates/vanillakeel-bench/src/lib.rs
+++ b/crates/vanillakeel-bench/src/lib.rs
@@ -13,6 +13,7 @@
 mod policy;
 mod quickstart;
 pub mod rig;
+mod slopes;
 
 pub use self::quickstart::{
     CLASSES,
@@ -63,6 +64,7 @@
         )
         .subcommand(policy::command())
         .subcommand(faults::command())
+        .subcommand(slopes::command())
 }
 
 fn value(args: &ArgMatches, name: &str) -> u64 {
@@ -86,6 +88,7 @@
         Some(("quickstart", args)) => run_quickstart(args),
         Some(("policy", args)) => policy::run(args),
         Some(("faults", args)) => faults::run(args),
+        Some(("slopes", args)) => slopes::run(args),
         _ => Ok(true),
     };
     match done {
--- a/crates/vanillakeel-bench/src/quickstart.rs
+++ b/crates/vanillakeel-bench/src/quickstart.rs
@@ -4,6 +4,7 @@
 
 pub(crate) use self::report::{
     Report,
+    quantile,
     report, //
 };
 
--- /dev/null
+++ b/crates/vanillakeel-bench/src/slopes/command.rs
@@ -0,0 +1,54 @@
+//! The command `slopes`.
+
+use super::{
+    Row,
+    decisions,
+    sockets, //
+};
+use clap::{
+    Arg,
+    ArgAction,
+    ArgMatches,
+    Command, //
+};
+use std::error::Error;
+
+/// The command's arguments.
+pub(crate) fn command() -> Command {
+    Command::new("slopes")
+        .about("Measure the cost of control against size and fit a line")
+        .arg(
+            Arg::new("no-sockets")
+                .long("no-sockets")
+                .action(ArgAction::SetTrue)
+                .help("Measure the decisions alone"),
+        )
+        .arg(crate::json())
+}
+
+/// Runs the command.
+pub(crate) fn run(args: &ArgMatches) -> Result<bool, Box<dyn Error>> {
+    let mut rows: Vec<Row> = decisions::rows();
+    let mut idle_us = None;
+    if !args.get_flag("no-sockets") {
+        let (more, idle) = sockets::rows()?;
+        rows.extend(more);
+        idle_us = Some(idle);
+    }
+    if args.get_flag("json") {
+        let json = serde_json::json!({"rows": rows, "idle_us_per_s": idle_us});
+        println!("{json}");
+        return Ok(true);
+    }
+    println!(
+        "{:<44} {:<22} {:>12} {:>12} {:>9}   points",
+        "cost", "against", "slope", "at zero", "residual"
+    );
+    for row in &rows {
+        println!("{row}");
+    }
+    if let Some(us) = idle_us {
+        println!("processor time of an idle instance for control: {us:.0} us a second");
+    }
+    Ok(true)
+}
--- /dev/null
+++ b/crates/vanillakeel-bench/src/slopes/decisions.rs
@@ -0,0 +1,365 @@
+//! Cost of the slices alone.
+
+use super::{
+    Row,
+    process::heap_bytes, //
+};
+use std::{
+    fmt::Write as _,
+    hint::black_box,
+    time::Instant, //
+};
+use vanillakeel::{
+    Millis, Request, Router, Text,
+    attempt::End,
+    claim::{
+        Action as ClaimAction,
+        Batch,
+        Claims,
+        Entry,
+        Key,
+        Op,
+        Settings as ClaimSettings, //
+    },
+    membership::{
+        Kind,
+        Member,
+        Membership, //
+    },
+    router::{
+        Action,
+        Settings, //
+    },
+    share::Message,
+};
+use vanillakeel_wire::{
+    Message as _,
+    convert::share_to_wire,
+    encode,
+    generated::PeerMessage, //
+};
+
+/// Requests in a measured round.
+const REQUESTS: u64 = 2_000;
+
+/// Bytes that a datagram adds to a message.
+const DATAGRAM_BYTES: usize = 60;
+
+/// Simulated seconds of talk between instances.
+const TALK_S: u64 = 60;
+
+fn router(upstreams: usize) -> Router {
+    let mut router = Router::new("a", 1, Settings::default());
+    for n in 0..upstreams {
+        router.set_upstream("pool", &format!("runner-{n:04}"), 16, "dc");
+    }
+    router
+}
+
+fn req(id: u64, workspaces: u64) -> Request {
+    Request {
+        id,
+        pool: "pool".into(),
+        workspace: format!("ws-{}", id % workspaces.max(1)).into(),
+        prefix: 1 + id % 64,
+        tier: (id % 5) as u8,
+        due: Millis::new(1_700),
+        deadline: Millis::new(60_000),
+        ..Request::default()
+    }
+}
+
+fn us_since(start: Instant, count: u64) -> f64 {
+    start.elapsed().as_secs_f64() * 1e6 / count as f64
+}
+
+/// Takes requests through arrival, first token, progress and answer; returns µs for each.
+fn whole_requests(router: &mut Router, workspaces: u64) -> f64 {
+    let start = Instant::now();
+    for id in 1..=REQUESTS {
+        router.arrive(Millis::ZERO, req(id, workspaces));
+        let sent: Vec<u64> = router
+            .drain()
+            .filter_map(|a| match a {
+                Action::Send { attempt, .. } => Some(attempt),
+                _ => None,
+            })
+            .collect();
+        for attempt in sent {
+            router.on_first_token(Millis::new(50), attempt);
+            router.on_progress(Millis::new(200), attempt, 16, 16);
+            router.on_end(Millis::new(300), attempt, End::Answered { tokens: 32 });
+        }
+    }
+    us_since(start, REQUESTS)
+}
+
+fn against_upstreams() -> Row {
+    let cost = |n: usize| (n as f64, whole_requests(&mut router(n), 10));
+    let points = [12, 115, 460, 920].map(cost).to_vec();
+    Row::fit("decisions for a request, us", "upstreams of a pool", points)
+}
+
+fn against_workspaces() -> Row {
+    let cost = |n: u64| (n as f64, whole_requests(&mut router(12), n));
+    let points = [10, 100, 600, 1_800].map(cost).to_vec();
+    Row::fit("decisions for a request, us", "workspaces", points)
+}
+
+/// A router with `streams` calls in flight.
+fn busy(streams: u64) -> Router {
+    let mut router = router(115);
+    for id in 1..=streams {
+        router.arrive(Millis::ZERO, req(id, 10));
+    }
+    router.drain().for_each(drop);
+    router
+}
+
+fn against_streams() -> Row {
+    let cost = |streams: u64| {
+        let mut router = busy(streams);
+        let start = Instant::now();
+        for _ in 0..REQUESTS {
+            router.tick(Millis::new(10));
+        }
+        (streams as f64, us_since(start, REQUESTS))
+    };
+    let points = [8, 64, 512, 1_024].map(cost).to_vec();
+    Row::fit("a round of periodic work, us", "calls in progress", points)
+}
+
+fn memory_of_streams() -> Row {
+    let cost = |streams: u64| {
+        let (router, bytes) = heap_bytes(|| busy(streams));
+        black_box(router);
+        (streams as f64, bytes / 1_024.0)
+    };
+    let points = [512, 2_048, 4_096].map(cost).to_vec();
+    Row::fit("memory of calls, KiB", "calls in progress", points)
+}
+
+fn batches(keys: u64) -> Vec<(u64, Batch)> {
+    let batch = |number: u64| Batch {
+        writer: "other".into(),
+        number: number + 1,
+        entries: (0..20)
+            .map(|n| Entry {
+                key: Key::new("clerks", u128::from(number * 20 + n), number),
+                claim: number * 20 + n,
+                op: Op::Claim,
+            })
+            .collect(),
+    };
+    (0..keys / 20).map(|n| (n, batch(n))).collect()
+}
+
+fn against_claims() -> [Row; 2] {
+    let mut time = Vec::new();
+    let mut memory = Vec::new();
+    for keys in [20_000, 100_000, 300_000] {
+        let records = batches(keys);
+        let start = Instant::now();
+        let (claims, bytes) = heap_bytes(|| {
+            let mut claims = Claims::new("me", ClaimSettings::default());
+            claims.on_records(Millis::ZERO, &records, keys / 20, true);
+            claims
+        });
+        time.push((keys as f64, start.elapsed().as_secs_f64() * 1e3));
+        memory.push((keys as f64, bytes / 1_024.0));
+        black_box(claims);
+    }
+    [
+        Row::fit("catching up with claims, ms", "keys in the window", time),
+        Row::fit("memory of claims, KiB", "keys in the window", memory),
+    ]
+}
+
+fn claims_per_append() -> Row {
+    let cost = |per_second: u64| {
+        let mut claims = Claims::new("me", ClaimSettings::default());
+        claims.on_records(Millis::ZERO, &[], 0, true);
+        let mut appends = 0.0;
+        let mut request = 0;
+        // An append is answered and read back after 10 ms.
+        let mut flying: Vec<(u64, Batch)> = Vec::new();
+        let mut offset = 0;
+        for ms in 0..10_000_u64 {
+            let now = Millis::new(ms);
+            for _ in 0..(per_second * (ms + 1) / 1_000 - per_second * ms / 1_000) {
+                request += 1;
+                let key = Key::new("clerks", u128::from(request), ms);
+                claims.begin(now, request, key, now.plus(5_000));
+            }
+            claims.tick(now);
+            for action in claims.drain().collect::<Vec<_>>() {
+                if let ClaimAction::Append(batch) = action {
+                    appends += 1.0;
+                    flying.push((ms + 10, batch));
+                }
+            }
+            let landed = flying.iter().position(|(at, _)| *at <= ms);
+            if let Some(at) = landed {
+                let (_, batch) = flying.remove(at);
+                offset += 1;
+                claims.on_records(now, &[(offset - 1, batch)], offset, true);
+            }
+        }
+        (per_second as f64, appends / 10.0)
+    };
+    let points = [5, 20, 60, 240].map(cost).to_vec();
+    Row::fit("appends a second of an instance", "claims a second", points)
+}
+
+fn claim_bytes() -> Row {
+    let cost = |entries: u64| {
+        let (_, batch) = &batches(entries.max(20))[0];
+        let batch = Batch {
+            entries: batch
+                .entries
+                .iter()
+                .take(entries as usize)
+                .cloned()
+                .collect(),
+            ..batch.clone()
+        };
+        let bytes = encode(&vanillakeel_wire::Body::Claims(batch)).len();
+        (entries as f64, bytes as f64)
+    };
+    let points = [1, 5, 10, 20].map(cost).to_vec();
+    Row::fit("bytes of a claim batch", "entries", points)
+}
+
+/// Bytes of messages about one pool, sent by all instances in a second.
+fn share_bytes(instances: usize) -> f64 {
+    let names: Vec<String> = (0..instances).map(|n| format!("entry-{n:03}")).collect();
+    let router = |name: &String| {
+        let mut router = Router::new(name, 1, Settings::default());
+        router.set_upstream("pool", "runner", 16, "dc");
+        router.set_peers(names.iter().map(String::as_str));
+        router
+    };
+    let mut routers: Vec<Router> = names.iter().map(router).collect();
+    let mut bytes = 0;
+    for round in 0..TALK_S * 10 {
+        let now = Millis::new(round * 100);
+        let mut told: Vec<(usize, String, Message)> = Vec::new();
+        for (at, router) in routers.iter_mut().enumerate() {
+            if round % 10 == at as u64 % 10 {
+                let id = round * 1_000 + at as u64 + 1;
+                router.arrive(
+                    now,
+                    Request {
+                        id,
+                        arrived: now,
+                        due: now.plus(1_700),
+                        deadline: now.plus(3_000),
+                        ..req(id, 10)
+                    },
+                );
+            }
+            router.tick(now);
+            for action in router.drain().collect::<Vec<_>>() {
+                if let Action::Peer { to, message, .. } = action {
+                    told.push((at, to.to_string(), message));
+                }
+            }
+        }
+        for (from, to, message) in told {
+            bytes += message_bytes(&names[from], message);
+            let at = names.iter().position(|n| *n == to);
+            if let Some(at) = at {
+                routers[at].on_peer(now, &names[from], "pool", message);
+            }
+        }
+    }
+    bytes as f64 / TALK_S as f64
+}
+
+fn message_bytes(from: &str, message: Message) -> usize {
+    let wire = PeerMessage {
+        from: from.to_owned(),
+        version: 1,
+        shares: vec![share_to_wire("pool", message)],
+        ..PeerMessage::default()
+    };
+    wire.encoded_len() + DATAGRAM_BYTES
+}
+
+fn against_instances() -> Row {
+    let cost = |n: usize| (n as f64, share_bytes(n));
+    let points = [4, 12, 46, 92].map(cost).to_vec();
+    Row::fit("bytes a second about a pool, all", "instances", points)
+}
+
+fn memory_of_members() -> Row {
+    let cost = |count: usize| {
+        let member = |n: usize| Member {
+            name: format!("member-{n:05}").into(),
+            kind: Kind::Upstream,
+            address: "127.0.0.1:7101".into(),
+            data_centre: "dc-1".into(),
+            ..Member::default()
+        };
+        let (view, bytes) = heap_bytes(|| {
+            let mut view = Membership::default();
+            (0..count).for_each(|n| {
+                view.merge(&member(n));
+            });
+            view
+        });
+        black_box(view);
+        (count as f64, bytes / 1_024.0)
+    };
+    let points = [400, 1_300, 2_600].map(cost).to_vec();
+    Row::fit("memory of members, KiB", "members", points)
+}
+
+fn text_source(workspaces: usize) -> String {
+    let mut source = include_str!("../quickstart/text.toml").to_owned();
+    for n in 0..workspaces {
+        let _ = write!(source, "\n[[workspace]]\nname = \"member-{n:05}\"\n");
+    }
+    for n in 0..920 {
+        let _ = write!(
+            source,
+            "\n[[upstream]]\nname = \"runner-{n:04}\"\npool = \"models\"\naddress = \"127.0.0.1:{}\"\n",
+            1_024 + n
+        );
+    }
+    source
+}
+
+fn against_text() -> [Row; 2] {
+    let mut time = Vec::new();
+    let mut bytes = Vec::new();
+    for workspaces in [10, 600, 1_800] {
+        let source = text_source(workspaces);
+        let start = Instant::now();
+        for _ in 0..5 {
+            let _ = black_box(Text::parse(&source));
+        }
+        time.push((workspaces as f64, us_since(start, 5) / 1e3));
+        bytes.push((workspaces as f64, source.len() as f64 / 1_024.0));
+    }
+    [
+        Row::fit("reading a text with 920 runners, ms", "workspaces", time),
+        Row::fit("size of a text with 920 runners, KiB", "workspaces", bytes),
+    ]
+}
+
+/// All rows.
+pub(super) fn rows() -> Vec<Row> {
+    let mut rows = vec![memory_of_members(), memory_of_streams()];
+    rows.extend(against_claims());
+    rows.extend([
+        against_upstreams(),
+        against_workspaces(),
+        against_streams(),
+        claims_per_append(),
+        claim_bytes(),
+        against_instances(),
+    ]);
+    rows.extend(against_text());
+    rows
+}
--- a/crates/vanillakeel-entry/src/instance.rs
+++ b/crates/vanillakeel-entry/src/instance.rs
@@ -12,6 +12,7 @@
     message::Input,
     operators, peer, platform,
     settings::Settings,
+    spawn::named,
 };
 use crossbeam::channel::{
     Sender,
@@ -140,7 +141,7 @@
             is_ready,
         };
         let control = Control::new(settings, Arc::clone(&shared), out);
-        let control = thread::spawn(move || control.run(&rx));
+        let control = named("vk-control", move || control.run(&rx));
         Ok(Self {
             tx,
             control,
--- a/crates/vanillakeel-entry/src/lib.rs
+++ b/crates/vanillakeel-entry/src/lib.rs
@@ -24,6 +24,7 @@
 mod peer;
 mod platform;
 pub mod settings;
+mod spawn;
 mod time;
 mod trace;
 mod upstream;
--- a/crates/vanillakeel-entry/src/peer/run.rs
+++ b/crates/vanillakeel-entry/src/peer/run.rs
@@ -5,7 +5,8 @@
     caller::Shared,
     message::Input,
     metrics::Metrics,
-    settings::Keys, //
+    settings::Keys,
+    spawn::named, //
 };
 use quinn::{
     Connection,
@@ -22,7 +23,6 @@
         Mutex,
         PoisonError, //
     },
-    thread,
     time::Duration,
 };
 use tokio::{
@@ -89,7 +89,7 @@
         .build()
         .map_err(|e| e.to_string())?;
     let shared = Arc::clone(shared);
-    thread::spawn(move || {
+    named("vk-peer", move || {
         if let Err(e) = runtime.block_on(run(socket, ends, shared, rx)) {
             tracing::error!(error = %e, "no talk with peers");
         }
--- a/crates/vanillakeel-entry/src/platform/list.rs
+++ b/crates/vanillakeel-entry/src/platform/list.rs
@@ -1,6 +1,9 @@
 //! Reading the instance list.
 
-use crate::message::Input;
+use crate::{
+    message::Input,
+    spawn::named, //
+};
 use crossbeam::channel::Sender;
 use serde::Deserialize;
 use std::{
@@ -70,7 +73,7 @@
     tx: Sender<Input>,
     is_stopping: Arc<AtomicBool>,
 ) {
-    thread::spawn(move || {
+    named("vk-list", move || {
         while !is_stopping.load(Ordering::Relaxed) {
             if let Some(members) = read(list)
                 && tx.send(Input::List(members)).is_err()
--- a/crates/vanillakeel-entry/src/platform/load.rs
+++ b/crates/vanillakeel-entry/src/platform/load.rs
@@ -1,8 +1,11 @@
 //! Asking upstreams for load reports and cache events, one at a time at a bounded rate.
 
-use crate::message::{
-    Input,
-    LoadNews, //
+use crate::{
+    message::{
+        Input,
+        LoadNews, //
+    },
+    spawn::named,
 };
 use crossbeam::channel::Sender;
 use serde::Deserialize;
@@ -64,7 +67,7 @@
     tx: Sender<Input>,
     is_stopping: Arc<AtomicBool>,
 ) {
-    thread::spawn(move || {
+    named("vk-load", move || {
         let mut turn = 0;
         let mut read_to: Vec<(Arc<str>, u64)> = Vec::new();
         while !is_stopping.load(Ordering::Relaxed) {
--- a/crates/vanillakeel-entry/src/platform/log.rs
+++ b/crates/vanillakeel-entry/src/platform/log.rs
@@ -1,6 +1,9 @@
 //! Reading and writing the log.
 
-use crate::message::Input;
+use crate::{
+    message::Input,
+    spawn::named, //
+};
 use crossbeam::channel::{
     Receiver,
     Sender, //
@@ -32,7 +35,7 @@
 
 /// Starts the thread that reads the log from its oldest record on.
 pub(crate) fn spawn_reader(log: Client, tx: Sender<Input>, is_stopping: Arc<AtomicBool>) {
-    thread::spawn(move || {
+    named("vk-log", move || {
         let mut next = 0;
         while !is_stopping.load(Ordering::Relaxed) {
             let input = match log.read(next, WAIT) {
@@ -54,7 +57,7 @@
 
 /// Starts the thread that appends records in order.
 pub(crate) fn spawn_writer(log: Client, rx: Receiver<Append>, tx: Sender<Input>) {
-    thread::spawn(move || {
+    named("vk-append", move || {
         for Append(body) in rx {
             let is_written = log.append(&body);
             if let Body::Claims(batch) = body {
--- a/crates/vanillakeel-entry/src/platform/orders.rs
+++ b/crates/vanillakeel-entry/src/platform/orders.rs
@@ -1,9 +1,9 @@
 //! Sending orders and cancels to upstreams.
 
+use crate::spawn::named;
 use crossbeam::channel::Receiver;
 use std::{
     net::SocketAddr,
-    thread,
     time::Duration, //
 };
 use vanillakeel_http::{
@@ -35,7 +35,7 @@
 pub(crate) fn spawn_orders(rx: &Receiver<Order>, threads: usize) {
     for _ in 0..threads {
         let rx = rx.clone();
-        thread::spawn(move || {
+        named("vk-orders", move || {
             for order in rx {
                 send(&order);
             }
