--- a/crates/vanillakeel-bench/src/faults/claims.rs
+++ b/crates/vanillakeel-bench/src/faults/claims.rs
@@ -2,6 +2,7 @@
 
 use super::fake::{
     Answer,
+    Cursor,
     Log, //
 };
 use std::collections::BTreeMap;
@@ -73,7 +74,7 @@
 struct Instance {
     claims: Claims,
     clock: Millis,
-    read_to: u64,
+    cursor: Cursor,
     is_cut: bool,
     is_paused: bool,
     won: Vec<Running>,
@@ -142,7 +143,7 @@
         Instance {
             claims,
             clock: self.now,
-            read_to: 0,
+            cursor: Cursor::default(),
             is_cut: false,
             is_paused: false,
             won: Vec::new(),
@@ -244,12 +245,10 @@
         if instance.is_cut {
             return;
         }
-        let records = self.log.read(instance.read_to, most);
-        let last = records.last().map(|r| r.0 + 1);
-        let next = last.unwrap_or(instance.read_to.max(self.log.first()));
-        instance.read_to = next;
-        let is_end = next >= self.log.end();
-        instance.claims.on_records(self.now, &records, next, is_end);
+        let page = instance.cursor.read(&self.log, most);
+        instance
+            .claims
+            .on_records(self.now, &page.records, page.next, page.is_end);
         let first = self.log.first();
         instance.claims.forget(self.now.get(), first);
     }
--- a/crates/vanillakeel-bench/src/faults/fake.rs
+++ b/crates/vanillakeel-bench/src/faults/fake.rs
@@ -93,3 +93,32 @@
         (start..).zip(records.map(|r| r.1.clone())).collect()
     }
 }
+
+/// Records read from a log.
+#[derive(Clone, Debug)]
+pub(super) struct Page<T> {
+    pub(super) records: Vec<(u64, T)>,
+    /// The offset after the last one.
+    pub(super) next: u64,
+    pub(super) is_end: bool,
+}
+
+/// How far an instance has read.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Cursor {
+    pub(super) next: u64,
+}
+
+impl Cursor {
+    /// Reads up to `most` records.
+    pub(super) fn read<T: Clone>(&mut self, log: &Log<T>, most: usize) -> Page<T> {
+        let records = log.read(self.next, most);
+        let last = records.last().map(|r| r.0 + 1);
+        self.next = last.unwrap_or(self.next.max(log.first()));
+        Page {
+            records,
+            next: self.next,
+            is_end: self.next >= log.end(),
+        }
+    }
+}
--- a/crates/vanillakeel-bench/src/faults/leases.rs
+++ b/crates/vanillakeel-bench/src/faults/leases.rs
@@ -2,7 +2,10 @@
 
 use super::{
     Guards,
-    fake::Log, //
+    fake::{
+        Cursor,
+        Log, //
+    },
 };
 use vanillakeel::{
     Millis,
@@ -26,7 +29,7 @@
 
 struct Instance {
     lease: Lease,
-    read_to: u64,
+    cursor: Cursor,
     is_cut: bool,
     paused_until: Millis,
 }
@@ -84,7 +87,7 @@
         lease.begin(self.log.first());
         Instance {
             lease,
-            read_to: 0,
+            cursor: Cursor::default(),
             is_cut: false,
             paused_until: Millis::ZERO,
         }
@@ -115,14 +118,11 @@
             return;
         }
         if !instance.is_cut {
-            if self.log.first() > instance.read_to {
+            if self.log.first() > instance.cursor.next {
                 instance.lease.begin(self.log.first());
             }
-            let records = self.log.read(instance.read_to, most);
-            let last = records.last().map(|r| r.0 + 1);
-            instance.read_to = last.unwrap_or(instance.read_to.max(self.log.first()));
-            let is_end = instance.read_to >= self.log.end();
-            instance.lease.on_records(now, &records, is_end);
+            let page = instance.cursor.read(&self.log, most);
+            instance.lease.on_records(now, &page.records, page.is_end);
         }
         instance.lease.tick(now, true);
         let actions: Vec<Action> = instance.lease.drain().collect();
--- a/crates/vanillakeel-bench/src/faults/texts.rs
+++ b/crates/vanillakeel-bench/src/faults/texts.rs
@@ -2,7 +2,10 @@
 
 use super::{
     Guards,
-    fake::Log, //
+    fake::{
+        Cursor,
+        Log, //
+    },
 };
 use std::{
     collections::BTreeMap,
@@ -31,7 +34,7 @@
 
 struct Instance {
     configuration: Configuration<Check>,
-    read_to: u64,
+    cursor: Cursor,
     is_cut: bool,
     is_paused: bool,
     highest: Version,
@@ -104,7 +107,7 @@
         }
         Instance {
             configuration,
-            read_to: 0,
+            cursor: Cursor::default(),
             is_cut: false,
             is_paused: false,
             highest: 0,
@@ -161,14 +164,11 @@
             return;
         }
         if !instance.is_cut {
-            let records = self.log.read(instance.read_to, most);
-            let last = records.last().map(|r| r.0 + 1);
-            let next = last.unwrap_or(instance.read_to.max(self.log.first()));
-            instance.read_to = next;
+            let page = instance.cursor.read(&self.log, most);
             let first = self.log.first();
             instance
                 .configuration
-                .on_records(self.now, first, &records, next);
+                .on_records(self.now, first, &page.records, page.next);
         }
         let at_risk = (self.log.first() + self.log.end()) / 2;
         instance.configuration.tick(self.now, at_risk);
--- a/crates/vanillakeel-bench/src/rig.rs
+++ b/crates/vanillakeel-bench/src/rig.rs
@@ -296,6 +296,14 @@
         Ok(())
     }
 
+    /// Whether all instances have a version in force, by what callers could see.
+    #[must_use]
+    pub fn has_version(&self, version: u64) -> bool {
+        let wanted = version as f64;
+        let of = |i: &Instance| metric(i.operators(), "vanillakeel_text_version ");
+        self.instances.iter().all(|i| of(i) >= wanted)
+    }
+
     /// Sum of a metric over all instances; `line_start` is how its lines start.
     #[must_use]
     pub fn metric(&self, line_start: &str) -> f64 {
--- a/crates/vanillakeel-bench/src/slopes/sockets.rs
+++ b/crates/vanillakeel-bench/src/slopes/sockets.rs
@@ -52,26 +52,29 @@
     control_us: f64,
 }
 
-fn class() -> Class {
+fn class(max_tokens: u32) -> Class {
     Class {
         target_ms: 60_000,
-        max_tokens: 300,
+        max_tokens,
         prompt_bytes: 400,
         ..CLASSES[2]
     }
 }
 
+/// Longest answer while the number of streams is varied, in tokens; the mean is a third.
+const MAX_TOKENS: u32 = 300;
+
 /// Time over which the streams of a round are opened.
 const OPENED_OVER: Duration = Duration::from_millis(1_500);
 
 /// Opens `streams` streams one after the other, spread over addresses; returns the delays.
-fn round_of(streams: usize, to: &[SocketAddr], round: usize) -> Delays {
+fn round_of(streams: usize, to: &[SocketAddr], round: usize, max_tokens: u32) -> Delays {
     let callers: Vec<_> = (0..streams)
         .map(|n| {
             let planned = Planned {
                 class: 2,
                 at: Duration::ZERO,
-                tag: format!("slope-{streams}-{round}-{n}"),
+                tag: format!("slope-{streams}-{max_tokens}-{round}-{n}"),
                 workspace: 1,
                 prefix: (n % 8) as u64,
                 key: None,
@@ -81,7 +84,7 @@
             let wait = OPENED_OVER.mul_f64(n as f64 / streams as f64);
             thread::spawn(move || {
                 thread::sleep(wait);
-                load::call(&class(), &planned, to, MODEL)
+                load::call(&class(max_tokens), &planned, to, MODEL)
             })
         })
         .collect();
@@ -109,7 +112,7 @@
 /// The median round of several.
 fn rounds(streams: usize, to: &[SocketAddr], salt: usize) -> Delays {
     let mut all: Vec<Delays> = (0..ROUNDS)
-        .map(|round| round_of(streams, to, salt + round))
+        .map(|round| round_of(streams, to, salt + round, MAX_TOKENS))
         .collect();
     all.sort_by(|a, b| a.first_p95.total_cmp(&b.first_p95));
     let first_p95 = all[ROUNDS / 2].first_p95;
@@ -144,6 +147,62 @@
     (all() - before) / start.elapsed().as_secs_f64()
 }
 
+/// Streams while the length of answers is varied.
+const STREAMS: usize = 64;
+
+/// Processor time of the control threads for a request, against the mean length of an answer.
+fn against_tokens(rig: &Rig, idle_us: f64) -> Row {
+    let cost = |max_tokens: u32| {
+        let (start, before) = (Instant::now(), threads_us("vk-control"));
+        round_of(STREAMS, &rig.callers(), 200, max_tokens);
+        let idle_us = idle_us * start.elapsed().as_secs_f64();
+        let spent = threads_us("vk-control") - before - idle_us;
+        (f64::from(max_tokens) / 3.0, spent / STREAMS as f64)
+    };
+    let points = [150, 600, 1_500].map(cost).to_vec();
+    Row::fit(
+        "control thread for a request, us",
+        "tokens of an answer",
+        points,
+    )
+}
+
+/// Texts published for one size.
+const PUBLISHED: usize = 12;
+
+/// Time between two looks at the instances' versions.
+const LOOK_EVERY: Duration = Duration::from_millis(2);
+
+/// Longest time, of several texts, from publishing until a text is in force everywhere, in ms.
+fn in_force_ms(instances: usize) -> Result<f64, Box<dyn Error>> {
+    let options = Options {
+        instances,
+        engines: 1,
+        ..Options::default()
+    };
+    let rig = Rig::start(options, TEXT)?;
+    let mut longest: f64 = 0.0;
+    for n in 0..PUBLISHED {
+        let text = format!("# {n}\n{}", rig.with_upstreams(TEXT));
+        let start = Instant::now();
+        let version = rig.publish(&text)?;
+        while !rig.has_version(version) {
+            thread::sleep(LOOK_EVERY);
+        }
+        longest = longest.max(start.elapsed().as_secs_f64() * 1e3);
+    }
+    Ok(longest)
+}
+
+fn against_instances() -> Result<Row, Box<dyn Error>> {
+    let mut points = Vec::new();
+    for n in [2, 4, 8] {
+        points.push((n as f64, in_force_ms(n)?));
+    }
+    let cost = "text in force everywhere, longest of 12, ms";
+    Ok(Row::fit(cost, "instances", points))
+}
+
 /// All rows, and a line about idle instances.
 pub(super) fn rows() -> Result<(Vec<Row>, f64), Box<dyn Error>> {
     let options = Options {
@@ -165,7 +224,7 @@
         let line = points.iter().map(|p| (p.streams as f64, of(p)));
         Row::fit(cost, "concurrent streams", line.collect())
     };
-    let rows = vec![
+    let mut rows = vec![
         row("first token p95, direct, ms", |p| p.direct.first_p95),
         row("first token p95, through two instances, ms", |p| {
             p.through.first_p95
@@ -174,5 +233,8 @@
         row("between tokens p95, through, ms", |p| p.through.between_p95),
         row("control thread for a request, us", |p| p.control_us),
     ];
+    rows.push(against_tokens(&rig, idle_control));
+    drop(rig);
+    rows.push(against_instances()?);
     Ok((rows, idle))
 }
--- a/crates/vanillakeel-entry/src/control/agreed.rs
+++ b/crates/vanillakeel-entry/src/control/agreed.rs
@@ -112,6 +112,7 @@
             }
         }
         tracing::info!(version, "text in force");
+        self.metrics().version.set(version as i64);
         self.shared.set_snapshot(Snapshot {
             version,
             text: self.text.clone(),
