perf(entry): look at progress instead of being told

The test of resumed streams read a metric that is brought up to date once a second since the last change; it waits for it now, the check is the same.

Conclusion: attempts carry two counters that the control thread reads four times a second.

--- a/crates/vanillakeel-bench/tests/faults_on_sockets.rs
+++ b/crates/vanillakeel-bench/tests/faults_on_sockets.rs
@@ -244,7 +244,8 @@
         .set(fault);
     let seen = caller.join().expect("seen");
     assert!(matches!(seen, Seen::Answered { .. }), "{seen:?}");
-    assert!(rig.metric("vanillakeel_router_total{kind=\"resume\"}") >= 1.0);
+    // Metrics are brought up to date once a second.
+    wait_until(|| rig.metric("vanillakeel_router_total{kind=\"resume\"}") >= 1.0);
 }
 
 #[test]
--- a/crates/vanillakeel-entry/src/caller/answer.rs
+++ b/crates/vanillakeel-entry/src/caller/answer.rs
@@ -14,6 +14,7 @@
         Ended,
         Input,
         Part,
+        Progress,
         Whole, //
     },
     metrics::OfClass,
@@ -43,7 +44,6 @@
     time::Duration,
 };
 use vanillakeel::{
-    Millis,
     Reason,
     Refusal,
     Request,
@@ -61,12 +61,6 @@
 /// Parts of an answer that may wait for a slow caller.
 const PARTS: usize = 256;
 
-/// Tokens after which the control thread hears of progress.
-const PROGRESS_TOKENS: u32 = 64;
-
-/// Time after which the control thread hears of progress, in ms.
-const PROGRESS_MS: u64 = 250;
-
 /// Whether the request goes on.
 enum Flow {
     Continue,
@@ -78,6 +72,7 @@
 struct Running {
     id: u64,
     is_cancelled: Arc<AtomicBool>,
+    progress: Arc<Progress>,
     tokens: u32,
 }
 
@@ -97,7 +92,6 @@
     text: String,
     last_event: Option<String>,
     whole: Option<Whole>,
-    progress: Millis,
 }
 
 /// Sees a request through to its final answer.
@@ -132,7 +126,6 @@
         text: String::new(),
         last_event: None,
         whole: None,
-        progress: Millis::ZERO,
     };
     loop {
         let flow = select! {
@@ -173,9 +166,10 @@
                 attempt,
                 upstream,
                 address,
+                progress,
             } => {
                 tracing::debug!(attempt, %upstream, "send");
-                self.start(attempt, address);
+                self.start(attempt, address, progress);
                 Flow::Continue
             }
             Command::Cancel { attempt } => {
@@ -196,13 +190,14 @@
     }
 
     /// Starts an attempt from the token that the caller has.
-    fn start(&mut self, id: u64, address: SocketAddr) {
+    fn start(&mut self, id: u64, address: SocketAddr, progress: Arc<Progress>) {
         let now = self.shared.clock.now();
         let is_cancelled = Arc::new(AtomicBool::new(false));
         let left_ms = self.req.deadline.since(now);
         self.running.push(Running {
             id,
             is_cancelled: Arc::clone(&is_cancelled),
+            progress,
             tokens: 0,
         });
         let attempt = Attempt {
@@ -260,11 +255,11 @@
     }
 
     fn note_first_token(&mut self, attempt: u64) {
-        self.progress = self.shared.clock.now();
+        let now = self.shared.clock.now();
         self.tell(Input::FirstToken { attempt });
         if self.delivered == 0 {
             let class = self.req.class.to_string();
-            let waited = self.progress.since(self.req.arrived) as f64 / 1_000.0;
+            let waited = now.since(self.req.arrived) as f64 / 1_000.0;
             let histogram = &self.shared.metrics.first_token;
             histogram.get_or_create(&OfClass { class }).observe(waited);
         }
@@ -323,21 +318,10 @@
     }
 
     fn note_progress(&mut self, attempt: u64) {
-        let now = self.shared.clock.now();
         let delivered = self.delivered;
-        let Some(running) = self.running.iter_mut().find(|r| r.id == attempt) else {
-            return;
-        };
-        running.tokens += 1;
-        let tokens = running.tokens;
-        let is_due = tokens % PROGRESS_TOKENS == 0 || now.since(self.progress) >= PROGRESS_MS;
-        if is_due && tokens > 1 {
-            self.progress = now;
-            self.tell(Input::Progress {
-                attempt,
-                tokens,
-                delivered,
-            });
+        if let Some(running) = self.running.iter_mut().find(|r| r.id == attempt) {
+            running.tokens += 1;
+            running.progress.note(running.tokens, delivered);
         }
     }
 
--- a/crates/vanillakeel-entry/src/control.rs
+++ b/crates/vanillakeel-entry/src/control.rs
@@ -10,7 +10,8 @@
     caller::Shared,
     message::{
         Command,
-        Input, //
+        Input,
+        Progress, //
     },
     metrics::Metrics,
     peer::Outgoing,
@@ -73,6 +74,9 @@
 /// The same while nothing is in progress, in ms.
 const IDLE_TICK_MS: u64 = 50;
 
+/// Time between two looks at how far attempts are, in ms.
+const PROGRESS_MS: u64 = 250;
+
 /// Time between two rounds of metrics and status.
 const REPORT_MS: u64 = 1_000;
 
@@ -103,10 +107,19 @@
     /// The request while it waits for its claim.
     claiming: Option<Request>,
     claim: Option<u64>,
-    attempts: Vec<u64>,
+    attempts: Vec<Sent>,
     is_sent: bool,
 }
 
+/// An attempt that was sent.
+#[derive(Debug)]
+struct Sent {
+    id: u64,
+    progress: Arc<Progress>,
+    /// Tokens that the router has been told of.
+    told: u32,
+}
+
 /// Where an upstream is.
 #[derive(Clone, Debug)]
 struct Known {
@@ -146,6 +159,7 @@
     log_heard: Option<Millis>,
     next_gossip: Millis,
     next_report: Millis,
+    next_progress: Millis,
     next_placing: Millis,
     boot_wall_ms: u64,
     stopping: Stopping,
@@ -185,6 +199,7 @@
             log_heard: None,
             next_gossip: Millis::ZERO,
             next_report: Millis::ZERO,
+            next_progress: Millis::ZERO,
             next_placing: Millis::ZERO,
             boot_wall_ms: wall_ms(),
             stopping: Stopping::No,
@@ -239,11 +254,6 @@
             Input::FirstToken { attempt } => {
                 self.router.on_first_token(now, attempt);
             }
-            Input::Progress {
-                attempt,
-                tokens,
-                delivered,
-            } => self.router.on_progress(now, attempt, tokens, delivered),
             Input::End { attempt, end } => self.on_end(now, attempt, end),
             Input::Wasted { tokens } => self.router.on_wasted(tokens),
             Input::CallerGone { request } => self.on_caller_gone(now, request),
@@ -275,6 +285,10 @@
     }
 
     fn tick(&mut self, now: Millis) {
+        if now >= self.next_progress {
+            self.next_progress = now.plus(PROGRESS_MS);
+            self.tell_progress(now);
+        }
         self.router.tick(now);
         self.claims.tick(now);
         self.configuration.tick(now, self.first_at_risk());
--- a/crates/vanillakeel-entry/src/control/requests.rs
+++ b/crates/vanillakeel-entry/src/control/requests.rs
@@ -2,10 +2,14 @@
 
 use super::{
     Control,
-    OpenRequest, //
+    OpenRequest,
+    Sent, //
 };
 use crate::{
-    message::Command,
+    message::{
+        Command,
+        Progress, //
+    },
     metrics::Metrics,
     platform::{
         Append,
@@ -76,12 +80,23 @@
         }
     }
 
+    /// Tells the router how far attempts are that have gone on since the last time.
+    pub(super) fn tell_progress(&mut self, now: Millis) {
+        for sent in self.requests.iter_mut().flat_map(|r| &mut r.attempts) {
+            let (tokens, delivered) = sent.progress.get();
+            if tokens > sent.told {
+                sent.told = tokens;
+                self.router.on_progress(now, sent.id, tokens, delivered);
+            }
+        }
+    }
+
     pub(super) fn on_end(&mut self, now: Millis, attempt: u64, end: End) {
         let was_running = self.router.on_end(now, attempt, end);
         let at = self
             .requests
             .iter()
-            .position(|r| r.attempts.contains(&attempt));
+            .position(|r| r.attempts.iter().any(|a| a.id == attempt));
         let Some(at) = at else { return };
         match end {
             End::Answered { .. } => {
@@ -227,12 +242,18 @@
             self.refuse(now, id, Refusal::new(verdict, Reason::DeadlineBeforeSend));
             return;
         }
-        request.attempts.push(attempt);
+        let progress = Arc::new(Progress::default());
+        request.attempts.push(Sent {
+            id: attempt,
+            progress: Arc::clone(&progress),
+            told: 0,
+        });
         request.is_sent = true;
         let command = Command::Send {
             attempt,
             upstream: Arc::clone(upstream),
             address,
+            progress,
         };
         if request.to.try_send(command).is_err() {
             self.on_caller_gone(now, id);
--- a/crates/vanillakeel-entry/src/message.rs
+++ b/crates/vanillakeel-entry/src/message.rs
@@ -3,7 +3,13 @@
 use crossbeam::channel::Sender;
 use std::{
     net::SocketAddr,
-    sync::Arc, //
+    sync::{
+        Arc,
+        atomic::{
+            AtomicU32,
+            Ordering, //
+        },
+    },
 };
 use vanillakeel::{
     Refusal, Request,
@@ -29,12 +35,6 @@
     },
     /// The first part of an answer goes to the caller.
     FirstToken { attempt: u64 },
-    /// Tokens have gone to the caller.
-    Progress {
-        attempt: u64,
-        tokens: u32,
-        delivered: u32,
-    },
     /// An attempt has ended.
     End { attempt: u64, end: End },
     /// Tokens of a superseded attempt were thrown away.
@@ -71,6 +71,28 @@
     pub(crate) loading: Option<Arc<str>>,
 }
 
+/// How far an attempt is; its request's thread writes it and the control thread looks at it now
+/// and then, so that no message is needed for tokens.
+#[derive(Debug, Default)]
+pub(crate) struct Progress {
+    tokens: AtomicU32,
+    delivered: AtomicU32,
+}
+
+impl Progress {
+    /// Notes tokens of this attempt, and of the whole answer, that have gone to the caller.
+    pub(crate) fn note(&self, tokens: u32, delivered: u32) {
+        self.delivered.store(delivered, Ordering::Relaxed);
+        self.tokens.store(tokens, Ordering::Relaxed);
+    }
+
+    /// Tokens of this attempt, and of the whole answer.
+    pub(crate) fn get(&self) -> (u32, u32) {
+        let tokens = self.tokens.load(Ordering::Relaxed);
+        (tokens, self.delivered.load(Ordering::Relaxed))
+    }
+}
+
 /// What the control thread tells the thread of a request.
 #[derive(Debug)]
 pub(crate) enum Command {
@@ -79,6 +101,7 @@
         attempt: u64,
         upstream: Arc<str>,
         address: SocketAddr,
+        progress: Arc<Progress>,
     },
     /// Give an attempt up.
     Cancel { attempt: u64 },
