perf(share): a different owner for each pool, fewer load reports

Cause: two rows of docs/CAPACITY.md were over 2 KB a second: owners by hash may own two pools, and load reports were asked for every 200 ms.

Conclusion: owners by rank; the instance that gives orders asks all upstreams every 200 ms, since it has to know them.

--- a/crates/vanillakeel-bench/src/policy/world.rs
+++ b/crates/vanillakeel-bench/src/policy/world.rs
@@ -55,7 +55,7 @@
 const TICK_US: u64 = 20 * MS;
 
 /// Time between two load reports that an instance asks for, in µs.
-const REPORT_US: u64 = 200 * MS;
+const REPORT_US: u64 = 800 * MS;
 
 /// Delay of a cache event, in µs.
 const CACHE_EVENT_US: u64 = 1_000 * MS;
--- a/crates/vanillakeel-entry/src/control.rs
+++ b/crates/vanillakeel-entry/src/control.rs
@@ -96,6 +96,7 @@
     pub(crate) targets: Arc<Mutex<Vec<Target>>>,
     pub(crate) status: Arc<Mutex<String>>,
     pub(crate) is_ready: Arc<AtomicBool>,
+    pub(crate) is_holder: Arc<AtomicBool>,
 }
 
 /// A request that is not finally answered.
--- a/crates/vanillakeel-entry/src/control/placing.rs
+++ b/crates/vanillakeel-entry/src/control/placing.rs
@@ -10,7 +10,10 @@
     },
     time::wall_ms,
 };
-use std::sync::Arc;
+use std::sync::{
+    Arc,
+    atomic::Ordering, //
+};
 use vanillakeel::{
     Millis,
     lease::Action,
@@ -29,7 +32,7 @@
 const PLACING_MS: u64 = 500;
 
 /// A load report older than this is not reconciled with, in ms.
-const MAX_REPORT_AGE_MS: u64 = 30_000;
+const MAX_REPORT_AGE_MS: u64 = 60_000;
 
 impl Control {
     pub(super) fn on_load(&mut self, now: Millis, news: LoadNews) {
@@ -72,7 +75,9 @@
     pub(super) fn place(&mut self, now: Millis) {
         let wants = self.configuration.version() > 0 && !self.is_leaving();
         self.lease.tick(now, wants);
-        if now < self.next_placing || self.lease.fencing(now).is_none() {
+        let is_holder = self.lease.fencing(now).is_some();
+        self.out.is_holder.store(is_holder, Ordering::Relaxed);
+        if now < self.next_placing || !is_holder {
             return;
         }
         self.next_placing = now.plus(PLACING_MS);
--- a/crates/vanillakeel-entry/src/instance.rs
+++ b/crates/vanillakeel-entry/src/instance.rs
@@ -95,6 +95,7 @@
         let shared = Arc::new(Shared::new(boot, settings.limits, window_ms, tx.clone()));
         let is_stopping = Arc::new(AtomicBool::new(false));
         let is_ready = Arc::new(AtomicBool::new(false));
+        let is_holder = Arc::new(AtomicBool::new(false));
         let status = Arc::new(Mutex::new("{}".to_owned()));
         let targets = Arc::new(Mutex::new(Vec::new()));
 
@@ -127,6 +128,7 @@
         platform::spawn_load(
             Arc::clone(&targets),
             Duration::from_millis(timing.report_every_ms),
+            Arc::clone(&is_holder),
             tx.clone(),
             Arc::clone(&is_stopping),
         );
@@ -139,6 +141,7 @@
             targets,
             status,
             is_ready,
+            is_holder,
         };
         let control = Control::new(settings, Arc::clone(&shared), out);
         let control = named("vk-control", move || control.run(&rx));
--- a/crates/vanillakeel-entry/src/platform/load.rs
+++ b/crates/vanillakeel-entry/src/platform/load.rs
@@ -43,6 +43,9 @@
 /// One in this many questions goes to an upstream of another group.
 const OTHERS_EVERY: usize = 4;
 
+/// The instance that gives orders asks all upstreams, this many times as often.
+const HOLDER_PACE: u32 = 4;
+
 #[derive(Debug, Deserialize)]
 struct Load {
     running: u32,
@@ -65,10 +68,12 @@
     events: Vec<CacheEvent>,
 }
 
-/// Starts the thread that asks the targets in turn.
+/// Starts the thread that asks the targets in turn; `is_holder` says whether the instance gives
+/// orders to upstreams, for which it has to know all of them.
 pub(crate) fn spawn_load(
     targets: Arc<Mutex<Vec<Target>>>,
     every: Duration,
+    is_holder: Arc<AtomicBool>,
     tx: Sender<Input>,
     is_stopping: Arc<AtomicBool>,
 ) {
@@ -76,10 +81,15 @@
         let mut turn = 0;
         let mut read_to: Vec<(Arc<str>, u64)> = Vec::new();
         while !is_stopping.load(Ordering::Relaxed) {
-            thread::sleep(every);
+            let asks_all = is_holder.load(Ordering::Relaxed);
+            thread::sleep(if asks_all { every / HOLDER_PACE } else { every });
             let target = {
                 let targets = targets.lock().unwrap_or_else(PoisonError::into_inner);
-                next(&targets, turn)
+                if asks_all {
+                    targets.get(turn % targets.len().max(1)).cloned()
+                } else {
+                    next(&targets, turn)
+                }
             };
             turn = turn.wrapping_add(1);
             let Some(target) = target else { continue };
--- a/crates/vanillakeel-entry/src/settings.rs
+++ b/crates/vanillakeel-entry/src/settings.rs
@@ -150,7 +150,8 @@
     pub log_retention_ms: u64,
     /// Time between two reads of the instance list.
     pub list_every_ms: u64,
-    /// Time between two load reports asked for, one upstream at a time.
+    /// Time between two load reports asked for, one upstream at a time; a quarter of it for the
+    /// instance that gives orders to upstreams.
     pub report_every_ms: u64,
     /// Time between two messages to random peers.
     pub gossip_every_ms: u64,
@@ -164,7 +165,7 @@
             key_window_ms: 15 * 60 * 1_000,
             log_retention_ms: 60 * 60 * 1_000,
             list_every_ms: 1_000,
-            report_every_ms: 200,
+            report_every_ms: 800,
             gossip_every_ms: 1_000,
         }
     }
--- a/crates/vanillakeel/src/router/pool.rs
+++ b/crates/vanillakeel/src/router/pool.rs
@@ -52,7 +52,7 @@
             name: Arc::from(name),
             queue: Queue::new(settings.admission),
             table: Table::new(settings.routing),
-            share: Share::new(name, me, settings.share),
+            share: Share::new(me, settings.share),
             budget: Budget::new(settings.attempt.budget),
             is_stale: true,
             service_ms: 0.0,
@@ -61,8 +61,15 @@
         }
     }
 
-    /// Divides the pool into groups anew, given the sorted names of the live instances.
-    pub(super) fn regroup(&mut self, me: &str, instances: &[Arc<str>], settings: &Settings) {
+    /// Divides the pool into groups anew, given the sorted names of the live instances and the
+    /// pool's rank among all.
+    pub(super) fn regroup(
+        &mut self,
+        me: &str,
+        instances: &[Arc<str>],
+        pool_rank: usize,
+        settings: &Settings,
+    ) {
         self.is_stale = false;
         let count = subset::count(settings.subset, self.table.len(), instances.len());
         let rank = instances.partition_point(|p| **p < *me);
@@ -73,6 +80,7 @@
             .enumerate()
             .filter(|(rank, _)| subset::group_of(*rank, count) == group);
         self.share.set_peers(mates.map(|(_, name)| &**name));
+        self.share.set_rank(pool_rank);
     }
 
     /// Whether one more call may go to another group.
--- a/crates/vanillakeel/src/router/state.rs
+++ b/crates/vanillakeel/src/router/state.rs
@@ -158,6 +158,8 @@
             Err(at) => {
                 let pool = Pool::new(name, &self.me, &self.settings);
                 self.pools.insert(at, pool);
+                // The ranks of those behind it have changed.
+                self.pools[at..].iter_mut().for_each(|p| p.is_stale = true);
                 at
             }
         }
@@ -202,7 +204,7 @@
     /// Divides a pool into groups anew, if upstreams or instances have changed.
     pub(super) fn regroup(&mut self, at: usize) {
         if self.pools[at].is_stale {
-            self.pools[at].regroup(&self.me, &self.peers, &self.settings);
+            self.pools[at].regroup(&self.me, &self.peers, at, &self.settings);
         }
     }
 
--- a/crates/vanillakeel/src/share.rs
+++ b/crates/vanillakeel/src/share.rs
@@ -8,15 +8,12 @@
 //! ```
 //! use vanillakeel::{share::{Mode, Settings, Share}, Millis};
 //!
-//! let mut share = Share::new("pool", "a", Settings { mode: Mode::Even, fill: 1.0, ..Settings::default() });
+//! let mut share = Share::new("a", Settings { mode: Mode::Even, fill: 1.0, ..Settings::default() });
 //! share.set_peers(["a", "b"].into_iter());
 //! assert_eq!(share.limit(Millis::ZERO, 32), 16);
 //! ```
 
-use crate::{
-    Millis,
-    order, //
-};
+use crate::Millis;
 use std::sync::Arc;
 
 /// A grant counts for this long, in ms.
@@ -100,9 +97,10 @@
 #[derive(Clone, Debug)]
 pub struct Share {
     settings: Settings,
-    pool: Arc<str>,
     me: Arc<str>,
     peers: Vec<Arc<str>>,
+    /// Rank of the pool, which says who of the peers owns it.
+    rank: usize,
     demands: Vec<Demand>,
     grant: Option<(Millis, u32)>,
     sent: Option<(Millis, u32)>,
@@ -112,12 +110,12 @@
 impl Share {
     /// Makes a share for an instance that knows of no peer.
     #[must_use]
-    pub fn new(pool: &str, me: &str, settings: Settings) -> Self {
+    pub fn new(me: &str, settings: Settings) -> Self {
         Self {
             settings,
-            pool: Arc::from(pool),
             me: Arc::from(me),
             peers: vec![Arc::from(me)],
+            rank: 0,
             demands: Vec::new(),
             grant: None,
             sent: None,
@@ -136,9 +134,14 @@
             .retain(|d| peers.binary_search(&d.from).is_ok());
     }
 
+    /// Sets the rank of the pool among all pools; pools of different rank have different owners,
+    /// as long as there are enough peers.
+    pub const fn set_rank(&mut self, rank: usize) {
+        self.rank = rank;
+    }
+
     fn owner(&self) -> &str {
-        let names = self.peers.iter().map(|p| &**p);
-        order::owner(&self.pool, names).unwrap_or(&self.me)
+        &self.peers[self.rank % self.peers.len()]
     }
 
     /// Calls that this instance may have in flight, of `slots` in the pool.
--- a/crates/vanillakeel/tests/split_capacity.rs
+++ b/crates/vanillakeel/tests/split_capacity.rs
@@ -17,7 +17,6 @@
 fn shares() -> Vec<Share> {
     let make = |name: &&str| {
         let mut share = Share::new(
-            "pool",
             name,
             Settings {
                 fill: 1.0,
@@ -93,7 +92,6 @@
 #[test]
 fn learned_limit_moves() {
     let mut share = Share::new(
-        "pool",
         "a",
         Settings {
             mode: Mode::Learned,
@@ -106,3 +104,17 @@
     (0..10).for_each(|_| share.on_first_token(false));
     assert!(start < more && share.limit(Millis::ZERO, 64) < more);
 }
+
+#[test]
+fn pools_have_owners_of_their_own() {
+    let mut owners: Vec<usize> = Vec::new();
+    for rank in 0..NAMES.len() {
+        let mut shares = shares();
+        shares.iter_mut().for_each(|s| s.set_rank(rank));
+        let grants = |share: &mut Share| share.tick(Millis::ZERO, 5);
+        let silent = shares.iter_mut().position(|s| grants(s).is_empty());
+        owners.push(silent.expect("an owner, which sends itself no demand"));
+    }
+    owners.dedup();
+    assert_eq!(owners.len(), NAMES.len());
+}
