fix(placement): move no more upstreams than a need is missing

First, an upstream that is drained for a need did not count as coming, so the next reconciliation drained another. Second, an upstream that was full and came earlier by name was drained although a later one had room by then. Ruled out: a second holder of the lease; all orders came from one instance.

Conclusion: pending orders carry the model that is wanted in the end, and upstreams with room come first.

--- a/crates/vanillakeel/src/placement/reconcile.rs
+++ b/crates/vanillakeel/src/placement/reconcile.rs
@@ -83,6 +83,8 @@
 #[derive(Clone, Debug)]
 struct Pending {
     order: Order,
+    /// The model that the upstream is to hold in the end.
+    wanted: Arc<str>,
     since: Millis,
 }
 
@@ -194,14 +196,13 @@
             .count() as u32
     }
 
-    /// Loads of a model that are under way, by own orders or by report.
+    /// Upstreams that will hold a model, by own orders, even if they have to lose another one first,
+    /// or by report.
     fn coming(&self, model: &str, pool: &str, observed: &[Observed]) -> u32 {
         let is_ordered = |o: &Observed| {
-            self.pending.iter().any(|p| {
-                p.order.upstream == o.upstream
-                    && *p.order.model == *model
-                    && p.order.change == Change::Load
-            })
+            self.pending
+                .iter()
+                .any(|p| p.order.upstream == o.upstream && *p.wanted == *model)
         };
         observed
             .iter()
@@ -221,7 +222,12 @@
         let has = self.holding(&need.model, &need.pool, observed)
             + self.coming(&need.model, &need.pool, observed);
         let mut missing = need.replicas.saturating_sub(has);
-        for o in observed.iter().filter(|o| o.pool == need.pool) {
+        let most = self.settings.models_per_upstream;
+        let has_room = |o: &&Observed| o.models.len() < most;
+        let own = || observed.iter().filter(|o| o.pool == need.pool);
+        // Upstreams with room first, so that none loses a model without need.
+        let full = own().filter(|o| !has_room(o));
+        for o in own().filter(has_room).chain(full) {
             if missing == 0 {
                 return;
             }
@@ -247,7 +253,7 @@
             if self.loads() >= self.settings.loads_at_once {
                 return false;
             }
-            self.order(now, o, &need.model, Change::Load, orders);
+            self.order(now, o, &need.model, need, Change::Load, orders);
             return true;
         }
         let is_held = self.changed.iter().any(|c| c.0 == o.upstream);
@@ -258,7 +264,7 @@
             .cloned();
         match spare {
             Some(model) if !is_held => {
-                self.order(now, o, &model, Change::Drain, orders);
+                self.order(now, o, &model, need, Change::Drain, orders);
                 true
             }
             _ => false,
@@ -291,6 +297,7 @@
         now: Millis,
         o: &Observed,
         model: &Arc<str>,
+        need: &Need,
         change: Change,
         orders: &mut Vec<Order>,
     ) {
@@ -300,7 +307,11 @@
             change,
         };
         orders.push(order.clone());
-        self.pending.push(Pending { order, since: now });
+        self.pending.push(Pending {
+            order,
+            wanted: Arc::clone(&need.model),
+            since: now,
+        });
     }
 
     fn note_risk(&mut self, wall_ms: u64, need: &Need, observed: &[Observed]) {
--- a/crates/vanillakeel/tests/placed_models.rs
+++ b/crates/vanillakeel/tests/placed_models.rs
@@ -114,6 +114,49 @@
     assert_eq!(at(5_000, &seen), []);
 }
 
+/// Found on sockets: while one upstream was drained for a need, others were drained for it too.
+#[test]
+fn no_more_than_missing_moved() {
+    let needs = needs(&text(), EIGHT_MS - 60 * MINUTE_MS, LEAD_MS);
+    let mut placement = Placement::new(Settings::default());
+    let mut seen: Vec<Observed> = (0..8)
+        .map(|n| observed(&format!("r{n}"), "filer"))
+        .collect();
+    seen[0] = observed("r0", "writer");
+    let mut moved = 0;
+    for ms in (0..30_000).step_by(500) {
+        let orders = placement.reconcile(Millis::new(ms), EIGHT_MS, &needs, &seen);
+        for order in orders {
+            let at = seen.iter().position(|o| o.upstream == order.upstream);
+            let models = &mut seen[at.expect("an upstream")].models;
+            match order.change {
+                Change::Drain => moved += 1,
+                Change::Unload => models.clear(),
+                Change::Load => models.push(order.model),
+            }
+        }
+    }
+    // Only the reader was missing.
+    assert_eq!(moved, 1);
+}
+
+/// Found on sockets: an upstream was drained although a later one had room.
+#[test]
+fn room_used_first() {
+    let needs = needs(&text(), EIGHT_MS - 60 * MINUTE_MS, LEAD_MS);
+    let mut placement = Placement::new(Settings::default());
+    let mut seen: Vec<Observed> = (0..4)
+        .map(|n| observed(&format!("r{n}"), "filer"))
+        .collect();
+    seen[0] = observed("r0", "writer");
+    seen.push(observed("r4", ""));
+    let orders = placement.reconcile(Millis::ZERO, EIGHT_MS, &needs, &seen);
+    assert_eq!(
+        orders.iter().map(change).collect::<Vec<_>>(),
+        [("r4", "reader", Change::Load)]
+    );
+}
+
 #[test]
 fn last_replica_kept() {
     let needs = needs(&text(), EIGHT_MS, LEAD_MS);
