feat(entry): a span for the wait for a claim and a turn

Cause: traces had spans for request, read and attempt, and none for the time in between.

Conclusion: each hop of a request shows up in its trace.

--- a/crates/vanillakeel-entry/src/caller/answer.rs
+++ b/crates/vanillakeel-entry/src/caller/answer.rs
@@ -92,6 +92,8 @@
     text: String,
     last_event: Option<String>,
     whole: Option<Whole>,
+    /// The span of the wait for a claim and a turn; it ends with the first command.
+    wait: Option<tracing::Span>,
 }
 
 /// Sees a request through to its final answer.
@@ -126,6 +128,7 @@
         text: String::new(),
         last_event: None,
         whole: None,
+        wait: Some(tracing::info_span!("wait")),
     };
     loop {
         let flow = select! {
@@ -161,6 +164,7 @@
     }
 
     fn on_command(&mut self, command: Command) -> Flow {
+        self.wait = None;
         match command {
             Command::Send {
                 attempt,
