refactor(router): one function for the choice of where a request goes

Cause: on reading the change, the send of the next request chose between own group, other groups and preemption in nested closures, and two tests of groups had the same loop.

Conclusion: behaviour is unchanged. What stands alike in the three random schedules (boot, cut, pause) has different state and stays.

--- a/crates/vanillakeel/src/router/pump.rs
+++ b/crates/vanillakeel/src/router/pump.rs
@@ -41,15 +41,7 @@
             self.expire(now, at, id);
             return true;
         }
-        let has_room = self.pools[at].table.in_flight() < self.pools[at].limit(now, protected);
-        let own = has_room.then(|| self.pick(now, at, id)).flatten();
-        let picked = own.or_else(|| self.pick_foreign(now, at, id));
-        let preempting = || protected && !has_room;
-        let Some(upstream) = picked.or_else(|| {
-            (preempting() && self.preempt(now, at, id))
-                .then(|| self.pick(now, at, id))
-                .flatten()
-        }) else {
+        let Some(upstream) = self.make_room(now, at, id, protected) else {
             return false;
         };
         let class = self.calls.get_mut(id).map(|c| Arc::clone(&c.req.class));
@@ -62,6 +54,28 @@
         true
     }
 
+    /// An upstream for a request: of the own group while the limit allows, else of another group,
+    /// else, for a protected request, in the place of work of a lower tier.
+    fn make_room(
+        &mut self,
+        now: Millis,
+        at: usize,
+        request: u64,
+        protected: bool,
+    ) -> Option<Arc<str>> {
+        let has_room = self.pools[at].table.in_flight() < self.pools[at].limit(now, protected);
+        if has_room && let Some(own) = self.pick(now, at, request) {
+            return Some(own);
+        }
+        if let Some(foreign) = self.pick_foreign(now, at, request) {
+            return Some(foreign);
+        }
+        if has_room || !protected || !self.preempt(now, at, request) {
+            return None;
+        }
+        self.pick(now, at, request)
+    }
+
     /// Time that the rest of a request's answer takes, but for few of them, in ms.
     fn expected_ms(&mut self, at: usize, request: u64) -> u64 {
         let Some(call) = self.calls.get_mut(request) else {
--- a/crates/vanillakeel/tests/upstream_groups.rs
+++ b/crates/vanillakeel/tests/upstream_groups.rs
@@ -74,8 +74,8 @@
     }
 }
 
-#[test]
-fn full_group_spills() {
+/// Requests that go to other groups when their first tokens come after `ms`.
+fn spilled(ms: u64) -> usize {
     let mut router = router("entry-0");
     let mut spilled = 0;
     for id in 1..=400 {
@@ -83,26 +83,22 @@
         for (attempt, upstream) in sent(&mut router) {
             if !router.is_own(&upstream) {
                 spilled += 1;
-                router.on_first_token(Millis::new(20), attempt);
+                router.on_first_token(Millis::new(ms), attempt);
             }
         }
     }
+    spilled
+}
+
+#[test]
+fn full_group_spills() {
+    let spilled = spilled(20);
     assert!(spilled > 100, "{spilled}");
 }
 
 #[test]
 fn late_first_tokens_stop_it() {
-    let mut router = router("entry-0");
-    let mut spilled = 0;
-    for id in 1..=400 {
-        router.arrive(Millis::ZERO, req(id));
-        for (attempt, upstream) in sent(&mut router) {
-            if !router.is_own(&upstream) {
-                spilled += 1;
-                router.on_first_token(Millis::new(900), attempt);
-            }
-        }
-    }
+    let spilled = spilled(900);
     assert!(spilled <= 4, "{spilled}");
 }
 
