feat(gateway): the whole path on the users' platform

Cause: the product had no way to run on machines whose configuration and upstreams are found in a keyed log, and whose requests are to be passed on unchanged. Its caller side takes a thread a connection and can't see a caller leave.

What: the library gains routes (host and prefix, weights, keys, freshness of what is known) and fleet (upstreams by incarnation, choice by reading that is queued, calls and shared parts of the prompt).

--- /dev/null
+++ b/crates/vanillakeel-entry/src/gateway.rs
@@ -0,0 +1,58 @@
+//! The pass-through daemon: requests go to upstreams unchanged, by host and path.
+//!
+//! One current-thread runtime does everything. Callers speak HTTP/1.1 to it, and it picks an
+//! upstream that discovery has shown, hands the request on and relays the answer as it comes. It
+//! keeps nothing: the routing configuration and the upstreams are read from a log through a
+//! [`Source`], and header names come from a [`Names`], so that another platform is met by two
+//! structs of functions and names.
+//!
+//! - [`Settings`] are read from TOML.
+//! - [`run`] serves until a signal stops it.
+//!
+//! ```no_run
+//! use vanillakeel_entry::gateway::{Names, Settings, Source, run};
+//! # fn source() -> Source { Source::default() }
+//! let settings = Settings::read("gateway.toml".as_ref())?;
+//! run(settings, "gateway.toml".as_ref(), Names::default(), source())?;
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
+
+mod accept;
+mod answer;
+mod client;
+mod exchange;
+mod guard;
+mod headers;
+mod metrics;
+mod names;
+mod operators;
+mod relay;
+mod request;
+mod run;
+mod settings;
+mod shared;
+mod sockets;
+mod source;
+mod stop;
+mod watch;
+
+pub use self::{
+    client::{
+        Client,
+        Dial,
+        SendError, //
+    },
+    names::Names,
+    run::{
+        RunError,
+        run, //
+    },
+    settings::Settings,
+    source::{
+        Entry,
+        Page,
+        ReadError,
+        Source,
+        Topic, //
+    },
+};
--- /dev/null
+++ b/crates/vanillakeel-entry/src/gateway/answer.rs
@@ -0,0 +1,175 @@
+//! Answers to callers.
+
+use super::relay::Relay;
+use bytes::Bytes;
+use http::{
+    HeaderValue,
+    Response,
+    StatusCode,
+    header, //
+};
+use hyper::body::{
+    Body,
+    Frame,
+    SizeHint, //
+};
+use std::{
+    error,
+    pin::Pin,
+    task::{
+        Context,
+        Poll, //
+    },
+};
+use vanillakeel::Verdict;
+
+/// An error that ends an answer before its end.
+pub(super) type BodyError = Box<dyn error::Error + Send + Sync>;
+
+/// The body of an answer.
+pub(super) enum Answer {
+    /// Bytes at hand.
+    Whole(Option<Bytes>),
+    /// What an upstream sends.
+    Relayed(Box<Relay>),
+}
+
+impl Body for Answer {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        match self.get_mut() {
+            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
+            Self::Relayed(relay) => relay.poll_next(cx),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
+            }
+            Self::Relayed(_) => SizeHint::default(),
+        }
+    }
+}
+
+/// Why an instance answers a request itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
+pub(super) enum Refusal {
+    /// the request can be read in two ways
+    Ambiguous,
+    /// a header can't be read
+    BadHeader,
+    /// the key is not known
+    UnknownKey,
+    /// no route serves this host and path
+    NoRoute,
+    /// the body is larger than allowed
+    BodyTooLarge,
+    /// the body did not arrive in time
+    SlowBody,
+    /// no routing configuration is known yet
+    NoConfiguration,
+    /// the routing configuration may be out of date
+    Stale,
+    /// no upstream can take the request now
+    NoUpstream,
+    /// upstreams are full
+    Full,
+    /// the time was over before the request was sent
+    TooLate,
+    /// the instance is stopping
+    Stopping,
+    /// an upstream failed after the request was sent
+    Broken,
+    /// the time was over after the request was sent
+    TimedOut,
+}
+
+impl Refusal {
+    /// A short stable word for logs and metrics.
+    pub(super) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Ambiguous => "ambiguous",
+            Self::BadHeader => "bad_header",
+            Self::UnknownKey => "unknown_key",
+            Self::NoRoute => "no_route",
+            Self::BodyTooLarge => "body_too_large",
+            Self::SlowBody => "slow_body",
+            Self::NoConfiguration => "no_configuration",
+            Self::Stale => "stale",
+            Self::NoUpstream => "no_upstream",
+            Self::Full => "full",
+            Self::TooLate => "too_late",
+            Self::Stopping => "stopping",
+            Self::Broken => "broken",
+            Self::TimedOut => "timed_out",
+        }
+    }
+
+    const fn status(self) -> StatusCode {
+        match self {
+            Self::Ambiguous | Self::BadHeader => StatusCode::BAD_REQUEST,
+            Self::UnknownKey => StatusCode::UNAUTHORIZED,
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
+            Self::NoConfiguration
+            | Self::Stale
+            | Self::NoUpstream
+            | Self::Full
+            | Self::TooLate
+            | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Broken => StatusCode::BAD_GATEWAY,
+            Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    /// Whether an upstream may have run the request.
+    pub(super) const fn verdict(self) -> Verdict {
+        match self {
+            Self::Broken | Self::TimedOut => Verdict::MayHaveRun,
+            _ => Verdict::NotRun,
+        }
+    }
+
+    /// When the caller may come back, in ms, where that helps.
+    const fn retry_after_ms(self) -> Option<u64> {
+        match self {
+            Self::NoConfiguration | Self::Stale | Self::NoUpstream => Some(300),
+            Self::Full => Some(100),
+            Self::Stopping => Some(0),
+            _ => None,
+        }
+    }
+
+    /// The answer that a caller gets.
+    pub(super) fn response(self) -> Response<Answer> {
+        let body = format!(
+            "{{\"error\":\"{}\",\"verdict\":\"{}\",\"reason\":\"{self}\"}}\n",
+            self.as_str(),
+            self.verdict()
+        );
+        let mut response = Response::new(Answer::Whole(Some(Bytes::from(body))));
+        *response.status_mut() = self.status();
+        let headers = response.headers_mut();
+        let json = HeaderValue::from_static("application/json");
+        headers.insert(header::CONTENT_TYPE, json);
+        if let Some(ms) = self.retry_after_ms() {
+            let seconds = format!("{}.{:03}", ms / 1_000, ms % 1_000);
+            if let Ok(value) = HeaderValue::from_str(&seconds) {
+                headers.insert(header::RETRY_AFTER, value);
+            }
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/vanillakeel-entry/src/gateway/exchange.rs
@@ -0,0 +1,520 @@
+//! Sends of a request to upstreams until one answers or nothing more may be tried.
+
+use super::{
+    answer::{
+        Answer,
+        Refusal, //
+    },
+    client::{
+        Client,
+        SendError, //
+    },
+    headers,
+    relay::Relay,
+    request::Order,
+    shared::Shared, //
+};
+use bytes::{
+    Bytes,
+    BytesMut, //
+};
+use http::{
+    HeaderMap,
+    HeaderValue,
+    Request,
+    Response,
+    StatusCode,
+    header, //
+};
+use http_body_util::{
+    BodyExt as _,
+    Full, //
+};
+use hyper::body::{
+    Body as _,
+    Incoming, //
+};
+use std::{
+    rc::Rc,
+    sync::Arc,
+    time::Duration, //
+};
+use tokio::time::timeout;
+use vanillakeel::{
+    Millis,
+    fleet::{
+        Ask,
+        End,
+        Pick,
+        Ticket, //
+    },
+};
+
+/// Upstreams without a connection that are tried for one request.
+const MAX_CONNECTS: u32 = 3;
+
+/// Refusals by upstreams after which a request is given up.
+const MAX_REFUSALS: u32 = 2;
+
+/// Largest answer that is taken in whole before it is handed on, in bytes.
+const MAX_WHOLE_BYTES: usize = 256 << 10;
+
+/// A request waits this part of its target for an upstream to be there.
+const WAIT_PART_OF_TARGET: u64 = 8;
+
+/// Longest wait for an upstream to be there, in ms.
+const MAX_WAIT_MS: u64 = 250;
+
+/// Shortest time worth a send, in ms.
+const MIN_LEFT_MS: u64 = 5;
+
+/// One send of a request to an upstream.
+///
+/// Dropped before its end, it closes the connection, which cancels the work there.
+#[derive(Debug)]
+pub(super) struct Call {
+    shared: Rc<Shared>,
+    pick: Pick,
+    ticket: Option<Ticket>,
+    client: Option<Client>,
+    /// How long the connection may be kept after the answer, in ms.
+    keep_ms: Option<u64>,
+}
+
+impl Call {
+    /// Name of the upstream.
+    pub(super) const fn upstream(&self) -> &Arc<str> {
+        &self.pick.name
+    }
+
+    /// Takes note of the first event.
+    pub(super) fn on_first(&mut self) {
+        if let Some(ticket) = &mut self.ticket {
+            self.shared.fleet.borrow_mut().on_first(ticket);
+        }
+    }
+
+    /// Ends the call; its connection is kept if the whole answer was read.
+    pub(super) fn end(mut self, end: End) {
+        self.settle(end);
+    }
+
+    fn settle(&mut self, end: End) {
+        let now = self.shared.clock.now();
+        if let Some(ticket) = self.ticket.take() {
+            self.shared.fleet.borrow_mut().on_end(now, ticket, end);
+            self.shared.fleet_changed.notify_waiters();
+        }
+        let Some(client) = self.client.take() else {
+            return;
+        };
+        let mut sockets = self.shared.sockets.borrow_mut();
+        let keeps = matches!(end, End::Good | End::Refused) && !client.is_closed();
+        match self.keep_ms {
+            Some(ms) if keeps && ms > 0 => {
+                let cfg = self.shared.settings.borrow().connections;
+                let (name, incarnation) = (&self.pick.name, self.pick.incarnation);
+                sockets.put(&cfg, name, incarnation, client, now.plus(ms));
+            }
+            _ => sockets.on_closed(&self.pick.name, self.pick.incarnation),
+        }
+    }
+}
+
+impl Drop for Call {
+    fn drop(&mut self) {
+        self.settle(End::Neutral);
+    }
+}
+
+/// Why a send brought no answer that can be handed on.
+#[derive(Debug, displaydoc::Display)]
+pub(super) enum Miss {
+    /// no upstream may be sent to now
+    NoUpstream,
+    /// all connections to the upstream are in use
+    NoConnection,
+    /// the upstream could not be reached, nothing was sent
+    Unreached,
+    /// the kept connection had ended before anything was written
+    Lapsed,
+    /// the upstream says that it has not run the request
+    Refused,
+    /// {0}; the upstream may have run the request
+    Broken(&'static str),
+}
+
+/// What has been tried for a request.
+#[derive(Debug, Default)]
+pub(super) struct Tries {
+    /// Upstreams not to try again.
+    tried: Vec<Arc<str>>,
+    /// Sends after which the request may have run.
+    pub(super) runs: u32,
+    refusals: u32,
+    unreached: u32,
+}
+
+/// Answers a request.
+pub(super) async fn run(shared: &Rc<Shared>, order: Order) -> Result<Response<Answer>, Refusal> {
+    let order = Rc::new(order);
+    let left = order.left_ms(shared.clock.now());
+    if left < MIN_LEFT_MS {
+        return Err(Refusal::TooLate);
+    }
+    let mut tries = Tries::default();
+    let limit = Duration::from_millis(left);
+    let done = timeout(limit, try_all(shared, &order, &mut tries)).await;
+    match done {
+        Ok(result) => result,
+        Err(_) if tries.runs > 0 => Err(Refusal::TimedOut),
+        Err(_) => Err(Refusal::TooLate),
+    }
+}
+
+async fn try_all(
+    shared: &Rc<Shared>,
+    order: &Rc<Order>,
+    tries: &mut Tries,
+) -> Result<Response<Answer>, Refusal> {
+    let mut failure: Option<Response<Answer>> = None;
+    loop {
+        let miss = match send(shared, order, tries, None).await {
+            Ok((call, response)) => match deliver(shared, order, tries, call, response).await {
+                Ok(Delivery::Final(response)) => return Ok(response),
+                Ok(Delivery::Failure(response)) => {
+                    failure = Some(response);
+                    Miss::Broken("error of the upstream")
+                }
+                Err(miss) => miss,
+            },
+            Err(miss) => miss,
+        };
+        log_miss(shared, order, tries, &miss);
+        if may_go_on(shared, order, tries, &miss).await {
+            continue;
+        }
+        if let Some(response) = failure {
+            return Ok(response);
+        }
+        return Err(match miss {
+            _ if tries.runs > 0 => Refusal::Broken,
+            Miss::NoUpstream | Miss::Unreached => Refusal::NoUpstream,
+            _ => Refusal::Full,
+        });
+    }
+}
+
+fn log_miss(shared: &Shared, order: &Order, tries: &Tries, miss: &Miss) {
+    tracing::info!(
+        request = %order.id,
+        upstream = tries.tried.last().map_or("", |u| u),
+        reason = %miss,
+        runs = tries.runs,
+        after_ms = shared.clock.now().since(order.arrived),
+        "send failed"
+    );
+}
+
+/// Whether one more send may be made after a miss.
+async fn may_go_on(shared: &Rc<Shared>, order: &Order, tries: &mut Tries, miss: &Miss) -> bool {
+    let is_final_run = tries.runs >= order.route.max_attempts.max(1);
+    let may_repeat = tries.runs == 0 || (order.route.kind.is_idempotent() && !is_final_run);
+    match miss {
+        Miss::Lapsed => true,
+        Miss::NoConnection => may_repeat,
+        Miss::NoUpstream => {
+            let target = order.route.target_ms;
+            let most = (target / WAIT_PART_OF_TARGET).min(MAX_WAIT_MS);
+            let waited = shared.clock.now().since(order.arrived);
+            let left = most.saturating_sub(waited);
+            if !may_repeat || left == 0 {
+                return false;
+            }
+            let changed = shared.fleet_changed.notified();
+            timeout(Duration::from_millis(left), changed).await.is_ok()
+        }
+        Miss::Unreached => {
+            tries.unreached += 1;
+            may_repeat && tries.unreached < MAX_CONNECTS
+        }
+        Miss::Refused => {
+            tries.refusals += 1;
+            may_repeat && tries.refusals < MAX_REFUSALS && shared.take_repeat(&order.service)
+        }
+        Miss::Broken(_) => may_repeat && shared.take_repeat(&order.service),
+    }
+}
+
+/// Sends a request to the best upstream and waits for the head of an answer.
+pub(super) async fn send(
+    shared: &Rc<Shared>,
+    order: &Order,
+    tries: &mut Tries,
+    after_event: Option<&str>,
+) -> Result<(Call, Response<Incoming>), Miss> {
+    let now = shared.clock.now();
+    let ask = Ask {
+        service: &order.service,
+        parts: &order.parts,
+        prompt_tokens: order.prompt_tokens,
+        tried: &tries.tried,
+    };
+    let pick = shared.fleet.borrow_mut().choose(now, &ask);
+    let pick = pick.ok_or(Miss::NoUpstream)?;
+    let ticket = shared.fleet.borrow_mut().on_send(now, &pick, &order.parts);
+    let mut call = Call {
+        shared: Rc::clone(shared),
+        pick,
+        ticket: Some(ticket),
+        client: None,
+        keep_ms: None,
+    };
+    connect(shared, order, tries, &mut call).await?;
+    let now = shared.clock.now();
+    let req = build(shared, order, &call.pick, order.left_ms(now), after_event);
+    tries.tried.push(Arc::clone(&call.pick.name));
+    tries.runs += 1;
+    tracing::info!(
+        request = %order.id,
+        upstream = %call.pick.name,
+        service = %order.service,
+        attempt = tries.runs,
+        to_read = call.pick.tokens_to_read,
+        after_ms = now.since(order.arrived),
+        "sent"
+    );
+    let sent = match &mut call.client {
+        Some(client) => client.send(req).await,
+        None => Err(SendError::NotSent),
+    };
+    match sent {
+        Ok(response) => check_head(shared, order, tries, call, response),
+        Err(SendError::NotSent) => {
+            tries.runs -= 1;
+            tries.tried.pop();
+            call.end(End::Neutral);
+            Err(Miss::Lapsed)
+        }
+        Err(SendError::Broken(_)) => {
+            call.end(End::Failed);
+            Err(Miss::Broken("connection ended before an answer"))
+        }
+    }
+}
+
+/// Gives a call a kept connection or a new one.
+async fn connect(
+    shared: &Rc<Shared>,
+    order: &Order,
+    tries: &mut Tries,
+    call: &mut Call,
+) -> Result<(), Miss> {
+    let (name, incarnation) = (Arc::clone(&call.pick.name), call.pick.incarnation);
+    let now = shared.clock.now();
+    call.client = shared.sockets.borrow_mut().take(now, &name, incarnation);
+    if call.client.is_some() {
+        return Ok(());
+    }
+    let most = order.max_connections;
+    let has_room = shared
+        .sockets
+        .borrow_mut()
+        .reserve(&name, incarnation, most);
+    if !has_room {
+        tries.tried.push(name);
+        return Err(Miss::NoConnection);
+    }
+    let reserved = Reserved(shared, &name, incarnation);
+    match Client::open(call.pick.address, shared.dial()).await {
+        Ok(client) => {
+            std::mem::forget(reserved);
+            shared.metrics.connections.inc();
+            call.client = Some(client);
+            Ok(())
+        }
+        Err(e) => {
+            tracing::info!(upstream = %name, error = %e, "upstream could not be reached");
+            drop(reserved);
+            tries.tried.push(name);
+            call.settle(End::Failed);
+            Err(Miss::Unreached)
+        }
+    }
+}
+
+/// Gives the count of a connection back if it is not established, or nobody waits for it any more.
+struct Reserved<'a>(&'a Shared, &'a Arc<str>, u64);
+
+impl Drop for Reserved<'_> {
+    fn drop(&mut self) {
+        self.0.sockets.borrow_mut().on_closed(self.1, self.2);
+    }
+}
+
+fn build(
+    shared: &Shared,
+    order: &Order,
+    pick: &Pick,
+    left_ms: u64,
+    after_event: Option<&str>,
+) -> Request<Full<Bytes>> {
+    let names = &shared.names;
+    let mut req = Request::new(Full::new(order.body.clone()));
+    *req.method_mut() = order.method.clone();
+    *req.uri_mut() = order.uri.clone();
+    *req.headers_mut() = order.headers.clone();
+    let headers = req.headers_mut();
+    headers.insert(names.deadline_ms.clone(), HeaderValue::from(left_ms));
+    if let Ok(name) = HeaderValue::from_str(&pick.name) {
+        headers.insert(names.expected_upstream.clone(), name);
+    }
+    let after = after_event.and_then(|id| HeaderValue::from_str(id).ok());
+    if let Some(id) = after {
+        headers.insert("last-event-id", id);
+    }
+    req
+}
+
+/// Sorts out heads that are no answer to the request.
+fn check_head(
+    shared: &Shared,
+    order: &Order,
+    tries: &mut Tries,
+    mut call: Call,
+    response: Response<Incoming>,
+) -> Result<(Call, Response<Incoming>), Miss> {
+    let names = &shared.names;
+    let headers = response.headers();
+    let echoed = headers::text(headers, &names.request_id);
+    if echoed != Some(&*order.id) {
+        call.end(End::Failed);
+        return Err(Miss::Broken("answer to another request"));
+    }
+    call.keep_ms = keep_ms(shared, headers);
+    let is_elsewhere = response.status() == StatusCode::MISDIRECTED_REQUEST;
+    if is_elsewhere || headers.contains_key(&names.not_run) {
+        tries.runs -= 1;
+        if is_elsewhere {
+            let mut fleet = shared.fleet.borrow_mut();
+            fleet.on_leaving(&call.pick.name, call.pick.incarnation);
+        }
+        // The body of a refusal is not read, so its connection is not kept.
+        call.keep_ms = None;
+        call.end(End::Refused);
+        return Err(Miss::Refused);
+    }
+    let lacks_seal = response.status().is_success() && !headers.contains_key(&names.seal);
+    if lacks_seal || headers.contains_key(header::CONTENT_ENCODING) {
+        call.end(End::Failed);
+        return Err(Miss::Broken("answer without its seal"));
+    }
+    Ok((call, response))
+}
+
+/// How long a connection may be kept after this answer, in ms.
+fn keep_ms(shared: &Shared, headers: &HeaderMap) -> Option<u64> {
+    if headers::says_close(headers) {
+        return None;
+    }
+    let cfg = shared.settings.borrow().connections;
+    let ms = headers::keep_alive_ms(headers).unwrap_or(cfg.idle_ms);
+    Some(ms.saturating_sub(cfg.margin_ms))
+}
+
+/// An answer as a whole or its beginning.
+enum Delivery {
+    /// What the caller gets.
+    Final(Response<Answer>),
+    /// A failure that the caller gets unless another upstream does better.
+    Failure(Response<Answer>),
+}
+
+async fn deliver(
+    shared: &Rc<Shared>,
+    order: &Rc<Order>,
+    tries: &mut Tries,
+    mut call: Call,
+    response: Response<Incoming>,
+) -> Result<Delivery, Miss> {
+    let (mut head, body) = response.into_parts();
+    headers::strip_hop_by_hop(&mut head.headers);
+    if order.route.kind.is_stream() && head.status.is_success() {
+        let tries = std::mem::take(tries);
+        let relay = Relay::new(shared, order, tries, call, body);
+        let answer = Answer::Relayed(Box::new(relay));
+        return Ok(Delivery::Final(Response::from_parts(head, answer)));
+    }
+    match take_whole(body).await {
+        Ok(Taken::Whole(bytes)) => {
+            call.on_first();
+            let is_failure = head.status.is_server_error();
+            let upstream = Arc::clone(call.upstream());
+            call.end(if is_failure { End::Failed } else { End::Good });
+            log_answer(shared, order, &upstream, head.status, bytes.len() as u64);
+            let response = Response::from_parts(head, Answer::Whole(Some(bytes)));
+            Ok(if is_failure {
+                Delivery::Failure(response)
+            } else {
+                Delivery::Final(response)
+            })
+        }
+        Ok(Taken::Start(bytes, body)) => {
+            call.on_first();
+            let tries = std::mem::take(tries);
+            let relay = Relay::new(shared, order, tries, call, body).with_start(bytes);
+            let answer = Answer::Relayed(Box::new(relay));
+            Ok(Delivery::Final(Response::from_parts(head, answer)))
+        }
+        Err(_) => {
+            call.end(End::Failed);
+            Err(Miss::Broken("answer broke off"))
+        }
+    }
+}
+
+/// Takes note of a whole answer.
+pub(super) fn log_answer(
+    shared: &Shared,
+    order: &Order,
+    upstream: &str,
+    status: StatusCode,
+    bytes: u64,
+) {
+    let now = shared.clock.now();
+    shared.metrics.on_answer(status, now.since(order.arrived));
+    tracing::info!(
+        request = %order.id,
+        upstream,
+        status = status.as_u16(),
+        bytes,
+        after_ms = now.since(order.arrived),
+        "answered"
+    );
+}
+
+/// A body that was taken in.
+enum Taken {
+    /// All of it.
+    Whole(Bytes),
+    /// The beginning of a long one, and the rest.
+    Start(Bytes, Incoming),
+}
+
+async fn take_whole(mut body: Incoming) -> Result<Taken, hyper::Error> {
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame?.into_data() {
+            bytes.extend_from_slice(&data);
+        }
+        if bytes.len() > MAX_WHOLE_BYTES && !body.is_end_stream() {
+            return Ok(Taken::Start(bytes.freeze(), body));
+        }
+    }
+    Ok(Taken::Whole(bytes.freeze()))
+}
+
+/// The time by which an answer has to end, as a wait from now.
+pub(super) fn wait_until(now: Millis, deadline: Millis) -> Duration {
+    Duration::from_millis(deadline.since(now))
+}
--- /dev/null
+++ b/crates/vanillakeel-entry/src/gateway/metrics.rs
@@ -0,0 +1,126 @@
+//! Counters and histograms of a pass-through instance.
+
+use super::answer::Refusal;
+use http::StatusCode;
+use prometheus_client::{
+    encoding::{
+        EncodeLabelSet,
+        text::encode, //
+    },
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::Histogram, //
+    },
+    registry::Registry,
+};
+
+/// Bounds of the histogram of whole answers, in seconds.
+const ANSWER_BOUNDS_S: [f64; 9] = [0.01, 0.03, 0.1, 0.3, 0.6, 1.0, 2.0, 5.0, 15.0];
+
+/// Labels of a refusal.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct OfRefusal {
+    reason: &'static str,
+    verdict: &'static str,
+}
+
+/// Labels of an answer.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct OfStatus {
+    status: u16,
+}
+
+/// All metrics of an instance.
+#[derive(Debug)]
+pub(super) struct Metrics {
+    registry: Registry,
+    refusals: Family<OfRefusal, Counter>,
+    answers: Family<OfStatus, Counter>,
+    whole: Histogram,
+    pub(super) broken: Counter,
+    pub(super) connections: Counter,
+    pub(super) source_errors: Counter,
+    pub(super) version: Gauge,
+    pub(super) upstreams: Gauge,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("vanillakeel"),
+            refusals: Family::default(),
+            answers: Family::default(),
+            whole: Histogram::new(ANSWER_BOUNDS_S),
+            broken: Counter::default(),
+            connections: Counter::default(),
+            source_errors: Counter::default(),
+            version: Gauge::default(),
+            upstreams: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl Metrics {
+    fn register(&mut self) {
+        let r = &mut self.registry;
+        r.register(
+            "refusals",
+            "Requests answered by the instance itself",
+            self.refusals.clone(),
+        );
+        r.register("answers", "Answers of upstreams", self.answers.clone());
+        r.register(
+            "answer_seconds",
+            "Time to the end of an answer",
+            self.whole.clone(),
+        );
+        r.register(
+            "broken_answers",
+            "Answers that an upstream broke off",
+            self.broken.clone(),
+        );
+        r.register(
+            "upstream_connections",
+            "Connections opened to upstreams",
+            self.connections.clone(),
+        );
+        r.register(
+            "source_errors",
+            "Reads of the log that failed",
+            self.source_errors.clone(),
+        );
+        r.register(
+            "configuration_version",
+            "Version of the configuration in force",
+            self.version.clone(),
+        );
+        r.register("upstreams", "Upstreams known", self.upstreams.clone());
+    }
+
+    pub(super) fn on_refusal(&self, refusal: Refusal) {
+        self.refusals
+            .get_or_create(&OfRefusal {
+                reason: refusal.as_str(),
+                verdict: refusal.verdict().as_str(),
+            })
+            .inc();
+    }
+
+    pub(super) fn on_answer(&self, status: StatusCode, ms: u64) {
+        let status = status.as_u16();
+        self.answers.get_or_create(&OfStatus { status }).inc();
+        self.whole.observe(ms as f64 / 1_000.0);
+    }
+
+    /// The whole page.
+    pub(super) fn page(&self) -> String {
+        let mut page = String::new();
+        // Writing to a text can't fail.
+        let _ = encode(&mut page, &self.registry);
+        page
+    }
+}
--- /dev/null
+++ b/crates/vanillakeel-entry/src/gateway/operators.rs
@@ -0,0 +1,68 @@
+//! Readiness and metrics, for the balancer and operators.
+
+use super::shared::Shared;
+use bytes::Bytes;
+use http::{
+    Request,
+    Response,
+    StatusCode, //
+};
+use http_body_util::Full;
+use hyper::{
+    body::Incoming,
+    server::conn::http1,
+    service::service_fn, //
+};
+use hyper_util::rt::TokioIo;
+use std::{
+    convert::Infallible,
+    rc::Rc,
+    time::Duration, //
+};
+use tokio::{
+    net::TcpListener,
+    task::spawn_local,
+    time::{
+        sleep,
+        timeout, //
+    },
+};
+
+/// Longest life of a connection.
+const MAX_LIFE: Duration = Duration::from_secs(60);
+
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Serves `/ready`, `/healthz` and `/metrics`.
+pub(super) async fn serve(shared: Rc<Shared>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let shared = Rc::clone(&shared);
+        let service = service_fn(move |req| {
+            let response = page(&shared, &req);
+            async move { Ok::<_, Infallible>(response) }
+        });
+        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        spawn_local(async move {
+            // A probe that breaks off is the prober's own matter.
+            let _ = timeout(MAX_LIFE, connection).await;
+        });
+    }
+}
+
+fn page(shared: &Shared, req: &Request<Incoming>) -> Response<Full<Bytes>> {
+    let (status, body) = match req.uri().path() {
+        "/ready" | "/readyz" if shared.is_ready() => (StatusCode::OK, "ready\n".to_owned()),
+        "/ready" | "/readyz" => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned()),
+        "/healthz" => (StatusCode::OK, "alive\n".to_owned()),
+        "/metrics" => (StatusCode::OK, shared.metrics.page()),
+        _ => (StatusCode::NOT_FOUND, "no such page\n".to_owned()),
+    };
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/vanillakeel-entry/src/gateway/run.rs
@@ -0,0 +1,97 @@
+//! Start and end of a pass-through instance.
+
+use super::{
+    accept,
+    names::Names,
+    operators,
+    settings::Settings,
+    shared::Shared,
+    source::Source,
+    stop,
+    watch, //
+};
+use socket2::{
+    Domain,
+    Socket,
+    Type, //
+};
+use std::{
+    io,
+    net::SocketAddr,
+    path::Path,
+    rc::Rc, //
+};
+use tokio::{
+    net::TcpListener,
+    runtime::Builder,
+    task::{
+        LocalSet,
+        spawn_local, //
+    },
+};
+
+/// Connections that may wait to be accepted.
+const BACKLOG: i32 = 1_024;
+
+/// Why an instance did not start.
+#[derive(Debug, displaydoc::Display)]
+pub enum RunError {
+    /// runtime: {0}
+    Runtime(io::Error),
+    /// listen.callers: {0}
+    Callers(io::Error),
+    /// listen.operators: {0}
+    Operators(io::Error),
+    /// signals: {0}
+    Signals(io::Error),
+}
+
+impl std::error::Error for RunError {}
+
+/// Serves until a signal stops the process; `path` is read again on SIGHUP.
+///
+/// # Errors
+///
+/// Returns an error if an address is taken or signals can't be handled.
+pub fn run(settings: Settings, path: &Path, names: Names, source: Source) -> Result<(), RunError> {
+    let runtime = Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(RunError::Runtime)?;
+    LocalSet::new().block_on(&runtime, serve(settings, path, names, source))
+}
+
+async fn serve(
+    settings: Settings,
+    path: &Path,
+    names: Names,
+    source: Source,
+) -> Result<(), RunError> {
+    let listen = settings.listen;
+    let callers = bind(listen.callers).map_err(RunError::Callers)?;
+    let operators = bind(listen.operators).map_err(RunError::Operators)?;
+    tracing::info!(
+        instance = settings.instance.name,
+        data_centre = settings.instance.data_centre,
+        callers = %listen.callers,
+        operators = %listen.operators,
+        "started"
+    );
+    let shared = Shared::new(settings, names);
+    spawn_local(operators::serve(Rc::clone(&shared), operators));
+    spawn_local(watch::configuration(Rc::clone(&shared), source.clone()));
+    spawn_local(watch::upstreams(Rc::clone(&shared), source));
+    spawn_local(accept::accept(Rc::clone(&shared), callers));
+    stop::until_stopped(&shared, path)
+        .await
+        .map_err(RunError::Signals)
+}
+
+fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    TcpListener::from_std(socket.into())
+}
--- a/crates/vanillakeel-entry/src/lib.rs
+++ b/crates/vanillakeel-entry/src/lib.rs
@@ -16,6 +16,7 @@
 
 mod caller;
 mod control;
+pub mod gateway;
 mod instance;
 pub mod logs;
 mod message;
--- a/crates/vanillakeel-entry/src/settings.rs
+++ b/crates/vanillakeel-entry/src/settings.rs
@@ -258,11 +258,7 @@
     ///
     /// Returns the first fault found; its text names the key and the reason.
     pub fn read(path: &Path) -> Result<Self, Error> {
-        let source = fs::read_to_string(path).map_err(|e| Error::Read {
-            path: path.display().to_string(),
-            reason: e.to_string(),
-        })?;
-        Self::parse(&source)
+        Self::parse(&read_file(path)?)
     }
 
     /// Reads and checks settings.
@@ -309,7 +305,16 @@
     }
 }
 
-fn syntax(source: &str, error: &toml::de::Error) -> Error {
+/// The text of a settings file.
+pub(crate) fn read_file(path: &Path) -> Result<String, Error> {
+    fs::read_to_string(path).map_err(|e| Error::Read {
+        path: path.display().to_string(),
+        reason: e.to_string(),
+    })
+}
+
+/// A fault of the form, with its line.
+pub(crate) fn syntax(source: &str, error: &toml::de::Error) -> Error {
     let start = error.span().map_or(0, |span| span.start.min(source.len()));
     let line = source[..start].matches('\n').count() + 1;
     Error::Syntax {
--- a/crates/vanillakeel-entry/src/time.rs
+++ b/crates/vanillakeel-entry/src/time.rs
@@ -1,31 +1,44 @@
 //! The clocks of a running instance.
 
+use rustix::time::{
+    ClockId,
+    clock_gettime, //
+};
 use std::time::{
-    Instant,
     SystemTime,
     UNIX_EPOCH, //
 };
 use vanillakeel::Millis;
 
 /// A monotonic clock whose origin is the start of the instance.
+///
+/// It counts the time during which the machine was suspended, so that what was known before is as
+/// old as it is to everybody else.
 #[derive(Clone, Copy, Debug)]
-pub struct Clock(Instant);
+pub struct Clock(u64);
 
 impl Clock {
     /// Starts a clock.
     #[must_use]
     pub fn start() -> Self {
-        Self(Instant::now())
+        Self(boot_ms())
     }
 
     /// The present time.
     #[must_use]
     pub fn now(&self) -> Millis {
-        let ms = self.0.elapsed().as_millis();
-        Millis::new(u64::try_from(ms).unwrap_or(u64::MAX))
+        Millis::new(boot_ms().saturating_sub(self.0))
     }
 }
 
+/// Time since the machine has started, in ms.
+fn boot_ms() -> u64 {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
+    let nanos = u64::try_from(time.tv_nsec).unwrap_or(0);
+    seconds * 1_000 + nanos / 1_000_000
+}
+
 /// The wall clock, in ms since 1970.
 #[must_use]
 pub fn wall_ms() -> u64 {
--- a/crates/vanillakeel/src/attempt.rs
+++ b/crates/vanillakeel/src/attempt.rs
@@ -18,7 +18,9 @@
 pub use self::{
     budget::{
         Budget,
-        BudgetSettings, //
+        BudgetSettings,
+        WindowBudget,
+        WindowSettings, //
     },
     call::{
         Attempt,
--- a/crates/vanillakeel/src/attempt/budget.rs
+++ b/crates/vanillakeel/src/attempt/budget.rs
@@ -1,4 +1,7 @@
-//! The retry budget, a token bucket that calls fill and repeats empty.
+//! Retry budgets: a token bucket that calls fill and repeats empty, and a sliding window.
+
+use crate::Millis;
+use std::collections::VecDeque;
 
 /// Settings of a [`Budget`].
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -59,3 +62,74 @@
         self.left
     }
 }
+
+/// Settings of a [`WindowBudget`].
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WindowSettings {
+    /// Repeats allowed for each request of the window.
+    pub ratio: f64,
+    /// Repeats of a window that all instances together may make beyond that.
+    pub slack: f64,
+    /// Length of the window in ms.
+    pub window_ms: u64,
+}
+
+impl Default for WindowSettings {
+    fn default() -> Self {
+        Self {
+            ratio: 0.2,
+            slack: 50.0,
+            window_ms: 10_000,
+        }
+    }
+}
+
+/// Repeats that a sliding window allows an instance, its part of a budget that all share.
+///
+/// Without a message between instances the sum stays under the shared bound: each spends the
+/// ratio on its own requests only, and an equal part of the slack.
+#[derive(Clone, Debug, Default)]
+pub struct WindowBudget {
+    settings: WindowSettings,
+    requests: VecDeque<Millis>,
+    repeats: VecDeque<Millis>,
+}
+
+impl WindowBudget {
+    /// Makes a budget whose window is empty.
+    #[must_use]
+    pub fn new(settings: WindowSettings) -> Self {
+        Self {
+            settings,
+            ..Self::default()
+        }
+    }
+
+    /// Counts a request.
+    pub fn on_request(&mut self, now: Millis) {
+        self.slide(now);
+        self.requests.push_back(now);
+    }
+
+    /// Takes one repeat, if the window has one left for one of `instances`.
+    #[must_use]
+    pub fn take(&mut self, now: Millis, instances: u32) -> bool {
+        self.slide(now);
+        let part = self.settings.slack / f64::from(instances.max(1));
+        let allowed = self.requests.len() as f64 * self.settings.ratio + part;
+        let has_one = (self.repeats.len() + 1) as f64 <= allowed;
+        if has_one {
+            self.repeats.push_back(now);
+        }
+        has_one
+    }
+
+    fn slide(&mut self, now: Millis) {
+        let start = now.minus(self.settings.window_ms);
+        for times in [&mut self.requests, &mut self.repeats] {
+            while times.front().is_some_and(|t| *t < start) {
+                times.pop_front();
+            }
+        }
+    }
+}
--- a/crates/vanillakeel/src/lib.rs
+++ b/crates/vanillakeel/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`text`] reads and checks the operator's text.
 //! - [`admission`], [`routing`], [`subset`], [`attempt`] and [`share`] decide on traffic; [`router`] composes
 //!   them for one instance.
+//! - [`routes`] and [`fleet`] decide where requests that are passed through unchanged go.
 //! - [`claim`], [`configuration`] and [`lease`] agree through the order of records on a log.
 //! - [`membership`] knows who is live; [`placement`] moves models to what is due first.
 //! - [`verdict`] says whether a request may have run.
@@ -24,11 +25,13 @@
 pub mod claim;
 mod clock;
 pub mod configuration;
+pub mod fleet;
 pub mod lease;
 pub mod membership;
 pub mod order;
 pub mod placement;
 pub mod router;
+pub mod routes;
 pub mod routing;
 pub mod share;
 pub mod subset;
--- a/crates/vanillakeel/src/routing.rs
+++ b/crates/vanillakeel/src/routing.rs
@@ -20,6 +20,7 @@
 mod prefix;
 mod table;
 
+pub(crate) use self::health::Health;
 pub use self::table::{
     Choice,
     Report,
--- a/crates/vanillakeel/src/routing/health.rs
+++ b/crates/vanillakeel/src/routing/health.rs
@@ -13,7 +13,7 @@
 
 /// State of one upstream.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(super) enum State {
+pub(crate) enum State {
     /// It is used without limit.
     #[default]
     Good,
@@ -27,8 +27,8 @@
 
 /// Health of one upstream, learnt from calls.
 #[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Health {
-    pub(super) state: State,
+pub(crate) struct Health {
+    pub(crate) state: State,
     /// Whether the last ejection was for slow steps, not for a failure.
     is_straggler: bool,
     ejections: u32,
@@ -36,7 +36,7 @@
 
 impl Health {
     /// Most calls in flight that the state allows.
-    pub(super) fn allowance(&self, now: Millis) -> u32 {
+    pub(crate) fn allowance(&self, now: Millis) -> u32 {
         match self.state {
             State::Good => u32::MAX,
             State::Ejected(until) if now < until => 0,
@@ -45,27 +45,27 @@
         }
     }
 
-    pub(super) fn is_ejected(&self) -> bool {
+    pub(crate) fn is_ejected(&self) -> bool {
         matches!(self.state, State::Ejected(_) | State::Probing)
     }
 
-    pub(super) fn on_send(&mut self) {
+    pub(crate) fn on_send(&mut self) {
         if let State::Ejected(_) = self.state {
             self.state = State::Probing;
         }
     }
 
     /// Whether it is ejected for slow steps.
-    pub(super) fn is_ejected_straggler(&self) -> bool {
+    pub(crate) fn is_ejected_straggler(&self) -> bool {
         self.is_ejected() && self.is_straggler
     }
 
-    pub(super) fn eject_straggler(&mut self, now: Millis) {
+    pub(crate) fn eject_straggler(&mut self, now: Millis) {
         self.eject(now);
         self.is_straggler = true;
     }
 
-    pub(super) fn eject(&mut self, now: Millis) {
+    pub(crate) fn eject(&mut self, now: Millis) {
         self.is_straggler = false;
         let doublings = self.ejections.min(10);
         let ms = (FIRST_EJECTION_MS << doublings).min(LONGEST_EJECTION_MS);
@@ -74,13 +74,13 @@
     }
 
     /// A call that was neither a success nor a failure of the upstream has ended.
-    pub(super) fn on_neutral(&mut self, now: Millis) {
+    pub(crate) fn on_neutral(&mut self, now: Millis) {
         if self.state == State::Probing {
             self.state = State::Ejected(now);
         }
     }
 
-    pub(super) fn on_success(&mut self, slots: u32) {
+    pub(crate) fn on_success(&mut self, slots: u32) {
         self.state = match self.state {
             State::Good => State::Good,
             State::Ejected(until) => State::Ejected(until),
