feat(mesh): share load and log reads through a hub in each data centre

What: the library gains mesh (hub by rendezvous, reports, totals, proofs whose age holds whatever the delay of a datagram); gateway::peers speaks it by UDP. The choice walks down the rendezvous ranks of a subject until one is free.

Tried and left: least cost over all upstreams with the shared load.

--- a/crates/vanillakeel-entry/src/gateway.rs
+++ b/crates/vanillakeel-entry/src/gateway.rs
@@ -26,6 +26,7 @@
 mod metrics;
 mod names;
 mod operators;
+mod peers;
 mod relay;
 mod request;
 mod run;
--- a/crates/vanillakeel-entry/src/gateway/metrics.rs
+++ b/crates/vanillakeel-entry/src/gateway/metrics.rs
@@ -42,6 +42,7 @@
     pub(super) broken: Counter,
     pub(super) connections: Counter,
     pub(super) source_errors: Counter,
+    pub(super) bad_datagrams: Counter,
     pub(super) version: Gauge,
     pub(super) upstreams: Gauge,
 }
@@ -56,6 +57,7 @@
             broken: Counter::default(),
             connections: Counter::default(),
             source_errors: Counter::default(),
+            bad_datagrams: Counter::default(),
             version: Gauge::default(),
             upstreams: Gauge::default(),
         };
@@ -93,6 +95,11 @@
             "Reads of the log that failed",
             self.source_errors.clone(),
         );
+        r.register(
+            "bad_datagrams",
+            "Datagrams of peers that can't be read",
+            self.bad_datagrams.clone(),
+        );
         r.register(
             "configuration_version",
             "Version of the configuration in force",
--- /dev/null
+++ b/crates/vanillakeel-entry/src/gateway/peers.rs
@@ -0,0 +1,398 @@
+//! Talk with other instances, by datagrams.
+//!
+//! Each instance writes where it is reached to the log once and reads the others there. From then on
+//! members report to their hub and take its answers, and hubs exchange totals; see
+//! [`vanillakeel::mesh`]. A datagram that is lost, late or not understood changes nothing for good.
+
+use super::{
+    shared::{
+        Change,
+        Shared, //
+    },
+    source::{
+        Entry,
+        Source,
+        Topic, //
+    },
+};
+use bytes::Bytes;
+use std::{
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::Duration, //
+};
+use tokio::{
+    net::UdpSocket,
+    time::sleep, //
+};
+use vanillakeel::{
+    Millis,
+    fleet::Listed,
+    membership::State,
+    mesh::{
+        Loads,
+        Peer,
+        Summary, //
+    },
+};
+use vanillakeel_wire::{
+    Message as _,
+    generated::{
+        MeshExchange,
+        MeshLoads,
+        MeshMessage,
+        MeshReport,
+        MeshSummary,
+        MeshUpstream,
+        mesh_message::Kind, //
+    },
+};
+
+/// Largest datagram that is read, in bytes.
+const MAX_DATAGRAM_BYTES: usize = 32 << 10;
+
+/// Tokens in a unit of the wire.
+const TOKENS_PER_UNIT: u64 = 64;
+
+/// Pause after the log could not be written or read, in ms.
+const RETRY_MS: u64 = 1_000;
+
+/// Upstreams have to be read again within this time for a hub to count as fresh, in ms.
+const FRESH_MS: u64 = 1_500;
+
+/// Age of a hub's proof of the configuration up to which it counts as fresh, in ms.
+const FRESH_PROOF_MS: u64 = 2_600;
+
+/// Talks with peers for as long as the process runs.
+pub(super) async fn run(shared: Rc<Shared>, source: Source, socket: Rc<UdpSocket>) {
+    tokio::join!(
+        register(&shared, &source, &socket),
+        receive(&shared, &socket),
+        tell(&shared, &socket),
+    );
+}
+
+/// Writes where this instance is reached and reads where the others are.
+async fn register(shared: &Shared, source: &Source, socket: &UdpSocket) {
+    let me = shared.mesh.borrow().me().clone();
+    let address = match socket.local_addr() {
+        Ok(address) => address,
+        Err(e) => {
+            tracing::error!(error = %e, "the socket for peers has no address");
+            return;
+        }
+    };
+    let entry = Entry {
+        key: me.name.to_string(),
+        value: Some(Bytes::from(format!("{address} {}", me.data_centre))),
+    };
+    while let Err(e) = (source.write)(Topic::Peers, entry.clone()).await {
+        tracing::warn!(error = %e, "where this instance is reached could not be written");
+        sleep(Duration::from_millis(RETRY_MS)).await;
+    }
+    let mut after = None;
+    loop {
+        match (source.newest)(Topic::Peers, after.clone()).await {
+            Ok(page) => {
+                let peers = page.entries.iter().filter_map(read_peer);
+                for peer in peers {
+                    shared.mesh.borrow_mut().on_peer(&peer);
+                    // The others learn of this instance from its first message.
+                    send(shared, socket, &peer, report(shared)).await;
+                }
+                after = page.more_after;
+                if after.is_none() {
+                    break;
+                }
+            }
+            Err(e) => {
+                tracing::warn!(error = %e, "peers could not be read");
+                sleep(Duration::from_millis(RETRY_MS)).await;
+            }
+        }
+    }
+    tracing::info!(peers = shared.mesh.borrow().len(), "peers known");
+}
+
+/// Tells the others that this instance stops.
+pub(super) async fn leave(shared: &Shared, source: &Source, socket: &UdpSocket) {
+    let hubs = {
+        let mesh = shared.mesh.borrow();
+        let now = shared.clock.now();
+        let mut hubs = mesh.other_hubs(now);
+        hubs.extend(mesh.hub(now).cloned());
+        hubs
+    };
+    for peer in hubs {
+        send(shared, socket, &peer, Kind::Leaving(true)).await;
+    }
+    let key = shared.mesh.borrow().me().name.to_string();
+    let entry = Entry { key, value: None };
+    if let Err(e) = (source.write)(Topic::Peers, entry).await {
+        tracing::warn!(error = %e, "the entry of this instance could not be dropped");
+    }
+}
+
+fn read_peer(entry: &Entry) -> Option<Peer> {
+    let text = std::str::from_utf8(entry.value.as_deref()?).ok()?;
+    let (address, data_centre) = text.split_once(' ')?;
+    Some(Peer {
+        name: Arc::from(&*entry.key),
+        data_centre: Arc::from(data_centre),
+        address: address.parse().ok()?,
+    })
+}
+
+/// Reports to the hub, or exchanges with other hubs, at an even pace.
+async fn tell(shared: &Shared, socket: &UdpSocket) {
+    loop {
+        let every = shared.settings.borrow().timing.mesh_every_ms;
+        sleep(Duration::from_millis(every)).await;
+        if shared.stopping.get().is_some() {
+            return;
+        }
+        let now = shared.clock.now();
+        let hub = shared.mesh.borrow().hub(now).cloned();
+        if let Some(hub) = hub {
+            shared.mesh.borrow_mut().on_asked(now, &hub.name);
+            send(shared, socket, &hub, report(shared)).await;
+        }
+        if shared.mesh.borrow().is_hub(now) {
+            exchange(shared, socket, now).await;
+        }
+    }
+}
+
+/// Sends the total of the own data centre to the other hubs, and takes theirs into account.
+async fn exchange(shared: &Shared, socket: &UdpSocket, now: Millis) {
+    let own = shared.fleet.borrow().loads();
+    let (peers, loads, instances) = {
+        let mesh = shared.mesh.borrow();
+        let (loads, instances) = mesh.own_zone(now, &own, "");
+        (mesh.other_hubs(now), loads, instances)
+    };
+    for peer in peers {
+        shared.mesh.borrow_mut().on_asked(now, &peer.name);
+        let message = MeshExchange {
+            loads: Some(to_wire(&loads)),
+            instances,
+        };
+        send(shared, socket, &peer, Kind::Exchange(message)).await;
+    }
+    let mesh = shared.mesh.borrow();
+    let (mut remote, _) = mesh.own_zone(now, &Loads::default(), "");
+    remote.merge(&mesh.other_zones(now).0);
+    shared.fleet.borrow_mut().set_remote(&remote);
+}
+
+fn report(shared: &Shared) -> Kind {
+    Kind::Report(MeshReport {
+        sent: shared.clock.now().get(),
+        loads: Some(to_wire(&shared.fleet.borrow().loads())),
+    })
+}
+
+async fn send(shared: &Shared, socket: &UdpSocket, peer: &Peer, kind: Kind) {
+    let message = {
+        let mesh = shared.mesh.borrow();
+        MeshMessage {
+            from: mesh.me().name.to_string(),
+            data_centre: mesh.me().data_centre.to_string(),
+            kind: Some(kind),
+        }
+    };
+    let sent = socket.send_to(&message.encode_to_vec(), peer.address).await;
+    if let Err(e) = sent {
+        tracing::debug!(peer = %peer.name, error = %e, "datagram not sent");
+    }
+}
+
+async fn receive(shared: &Shared, socket: &UdpSocket) {
+    let mut buf = vec![0; MAX_DATAGRAM_BYTES];
+    loop {
+        match socket.recv_from(&mut buf).await {
+            Ok((length, from)) => on_datagram(shared, socket, &buf[..length], from).await,
+            // A peer that is gone makes the socket report its port as closed.
+            Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => {}
+            Err(e) => {
+                tracing::warn!(error = %e, "datagrams can't be read");
+                sleep(Duration::from_millis(RETRY_MS)).await;
+            }
+        }
+    }
+}
+
+async fn on_datagram(shared: &Shared, socket: &UdpSocket, bytes: &[u8], from: SocketAddr) {
+    let Ok(message) = MeshMessage::decode(bytes) else {
+        shared.metrics.bad_datagrams.inc();
+        return;
+    };
+    let now = shared.clock.now();
+    let peer = Peer {
+        name: Arc::from(&*message.from),
+        data_centre: Arc::from(&*message.data_centre),
+        address: from,
+    };
+    let name = &peer.name;
+    if matches!(message.kind, Some(Kind::Leaving(_))) {
+        shared.mesh.borrow_mut().on_left(name);
+        return;
+    }
+    shared.mesh.borrow_mut().on_peer(&peer);
+    match message.kind {
+        Some(Kind::Report(report)) => {
+            let loads = from_wire(report.loads.as_ref());
+            let is_mate = {
+                let mut mesh = shared.mesh.borrow_mut();
+                let is_mate = mesh.me().data_centre == peer.data_centre;
+                if is_mate {
+                    mesh.on_report(now, name, loads);
+                }
+                is_mate
+            };
+            if is_mate && shared.stopping.get().is_none() {
+                let summary = summary(shared, now, name, report.sent);
+                send(shared, socket, &peer, Kind::Summary(summary)).await;
+            }
+        }
+        Some(Kind::Exchange(exchange)) => {
+            let loads = from_wire(exchange.loads.as_ref());
+            let mut mesh = shared.mesh.borrow_mut();
+            mesh.on_exchange(now, name, &message.data_centre, loads, exchange.instances);
+        }
+        Some(Kind::Summary(summary)) => on_summary(shared, now, name, &summary),
+        Some(Kind::Leaving(_)) | None => {}
+    }
+}
+
+/// What this instance knows, as an answer to a member's report.
+fn summary(shared: &Shared, now: Millis, member: &str, sent: u64) -> MeshSummary {
+    let own = shared.fleet.borrow().loads();
+    let (loads, instances) = {
+        let mesh = shared.mesh.borrow();
+        let (mut loads, own_instances) = mesh.own_zone(now, &own, member);
+        let (others, other_instances) = mesh.other_zones(now);
+        loads.merge(&others);
+        (loads, own_instances + other_instances)
+    };
+    let in_force = shared.in_force.borrow();
+    let proof_age = in_force.age_ms(now);
+    let read = shared.upstreams_read.get();
+    let is_read = read.is_some_and(|t| now.since(t) < FRESH_MS);
+    let is_proved = proof_age.is_some_and(|age| age < FRESH_PROOF_MS);
+    let changes = shared.changes.borrow();
+    MeshSummary {
+        sent,
+        fresh: is_read && is_proved,
+        version: in_force.table().map_or(0, |t| t.version()),
+        proof_age: proof_age.unwrap_or(u64::MAX),
+        digest: shared.fleet.borrow().digest(),
+        loads: Some(to_wire(&loads)),
+        changes: changes.iter().map(|(_, c)| change_to_wire(c)).collect(),
+        instances,
+    }
+}
+
+fn on_summary(shared: &Shared, now: Millis, hub: &str, summary: &MeshSummary) {
+    let sent = Millis::new(summary.sent);
+    let heard = Summary {
+        sent,
+        is_fresh: summary.fresh,
+        instances: summary.instances,
+    };
+    shared.mesh.borrow_mut().on_summary(now, hub, heard);
+    let loads = from_wire(summary.loads.as_ref());
+    shared.fleet.borrow_mut().set_remote(&loads);
+    if !summary.fresh {
+        return;
+    }
+    take_proof(shared, summary, sent);
+    let changes = summary.changes.iter().filter_map(change_from_wire);
+    let mut has_changed = false;
+    for change in changes {
+        if change.is_gone {
+            shared.on_gone(&change.listed.name);
+        } else {
+            has_changed |= shared.on_listed(&change.listed);
+        }
+    }
+    if has_changed {
+        shared.fleet_changed.notify_waiters();
+    }
+    let is_same = shared.fleet.borrow().digest() == summary.digest;
+    let differs = (!is_same).then(|| shared.differs_since.get().unwrap_or(now));
+    shared.differs_since.set(differs);
+}
+
+/// Takes the hub's proof that a version is the newest.
+///
+/// The hub got the report after it was sent here, so what was proved so long before that moment at
+/// the hub was proved no longer before the report was sent, whatever the datagrams' delays.
+fn take_proof(shared: &Shared, summary: &MeshSummary, sent: Millis) {
+    let mut in_force = shared.in_force.borrow_mut();
+    let version = in_force.table().map_or(0, |t| t.version());
+    if version == summary.version {
+        in_force.prove(sent.minus(summary.proof_age));
+    } else if version < summary.version {
+        shared.newer.notify_one();
+    }
+}
+
+fn to_wire(loads: &Loads) -> MeshLoads {
+    let mut wire = MeshLoads::default();
+    for (upstream, calls, tokens) in loads.iter() {
+        wire.upstreams.push(upstream);
+        wire.calls.push(calls);
+        let units = tokens.div_ceil(TOKENS_PER_UNIT);
+        wire.tokens.push(u32::try_from(units).unwrap_or(u32::MAX));
+    }
+    wire
+}
+
+fn from_wire(wire: Option<&MeshLoads>) -> Loads {
+    let mut loads = Loads::default();
+    let Some(wire) = wire else {
+        return loads;
+    };
+    let rest = wire.calls.iter().zip(&wire.tokens);
+    for (upstream, (calls, units)) in wire.upstreams.iter().zip(rest) {
+        loads.add(*upstream, *calls, u64::from(*units) * TOKENS_PER_UNIT);
+    }
+    loads
+}
+
+fn change_to_wire(change: &Change) -> MeshUpstream {
+    let listed = &change.listed;
+    MeshUpstream {
+        name: listed.name.to_string(),
+        incarnation: listed.incarnation,
+        service: listed.service.to_string(),
+        address: listed.address.to_string(),
+        data_centre: listed.data_centre.to_string(),
+        slots: listed.slots,
+        leaving: listed.state == State::Leaving,
+        gone: change.is_gone,
+    }
+}
+
+fn change_from_wire(wire: &MeshUpstream) -> Option<Change> {
+    let state = if wire.leaving {
+        State::Leaving
+    } else {
+        State::Live
+    };
+    Some(Change {
+        listed: Listed {
+            name: Arc::from(&*wire.name),
+            incarnation: wire.incarnation,
+            service: Arc::from(&*wire.service),
+            address: wire.address.parse().ok()?,
+            data_centre: Arc::from(&*wire.data_centre),
+            slots: wire.slots,
+            state,
+        },
+        is_gone: wire.gone,
+    })
+}
--- a/crates/vanillakeel-entry/src/gateway/request.rs
+++ b/crates/vanillakeel-entry/src/gateway/request.rs
@@ -220,7 +220,7 @@
     let priority = client.and_then(|c| c.priority).unwrap_or(route.priority);
     set(&names.priority, &priority.min(LOWEST_PRIORITY).to_string());
     let max_connections = table.service(service).map_or(1, |s| s.max_connections);
-    let instances = shared.settings.borrow().retries.instances.max(1);
+    let instances = shared.instances().max(1);
     let path = head.uri.path_and_query().map_or("/", |p| p.as_str());
     Ok(Order {
         parts: prompt_parts(headers::text(&head.headers, &names.prompt_parts)),
--- a/crates/vanillakeel-entry/src/gateway/run.rs
+++ b/crates/vanillakeel-entry/src/gateway/run.rs
@@ -4,6 +4,7 @@
     accept,
     names::Names,
     operators,
+    peers,
     settings::Settings,
     shared::Shared,
     source::Source,
@@ -22,7 +23,10 @@
     rc::Rc, //
 };
 use tokio::{
-    net::TcpListener,
+    net::{
+        TcpListener,
+        UdpSocket, //
+    },
     runtime::Builder,
     task::{
         LocalSet,
@@ -42,6 +46,8 @@
     Callers(io::Error),
     /// listen.operators: {0}
     Operators(io::Error),
+    /// listen.peers: {0}
+    Peers(io::Error),
     /// signals: {0}
     Signals(io::Error),
 }
@@ -77,14 +83,28 @@
         operators = %listen.operators,
         "started"
     );
+    let socket = match listen.peers {
+        Some(address) => Some(UdpSocket::bind(address).await.map_err(RunError::Peers)?),
+        None => None,
+    };
+    let socket = socket.map(Rc::new);
     let shared = Shared::new(settings, names);
     spawn_local(operators::serve(Rc::clone(&shared), operators));
     spawn_local(watch::configuration(Rc::clone(&shared), source.clone()));
-    spawn_local(watch::upstreams(Rc::clone(&shared), source));
+    spawn_local(watch::upstreams(Rc::clone(&shared), source.clone()));
+    if let Some(socket) = &socket {
+        let run = peers::run(Rc::clone(&shared), source.clone(), Rc::clone(socket));
+        spawn_local(run);
+    }
     spawn_local(accept::accept(Rc::clone(&shared), callers));
-    stop::until_stopped(&shared, path)
-        .await
-        .map_err(RunError::Signals)
+    let mut signals = stop::Signals::new().map_err(RunError::Signals)?;
+    signals.until_asked(&shared, path).await;
+    if let Some(socket) = socket {
+        let shared = Rc::clone(&shared);
+        spawn_local(async move { peers::leave(&shared, &source, &socket).await });
+    }
+    stop::drain(&shared).await;
+    Ok(())
 }
 
 fn bind(address: SocketAddr) -> io::Result<TcpListener> {
--- a/crates/vanillakeel-entry/src/gateway/settings.rs
+++ b/crates/vanillakeel-entry/src/gateway/settings.rs
@@ -58,7 +58,7 @@
     pub log: Log,
 }
 
-/// Where the instance listens, over TCP.
+/// Where the instance listens, over TCP if nothing else is said.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Listen {
@@ -66,6 +66,9 @@
     pub callers: SocketAddr,
     /// For readiness and metrics.
     pub operators: SocketAddr,
+    /// For other instances, over UDP; without it, each instance reads the log itself.
+    #[serde(default)]
+    pub peers: Option<SocketAddr>,
 }
 
 /// The log service.
@@ -88,6 +91,8 @@
     pub configuration_wait_ms: u64,
     /// Time between two reads of what upstreams say.
     pub discovery_every_ms: u64,
+    /// Time between two messages to a peer.
+    pub mesh_every_ms: u64,
     /// Time for an answer of the log service beyond the wait asked for.
     pub store_answer_ms: u64,
     /// Time within which upstreams whose entry lapsed during an outage of the log are listed again.
@@ -111,8 +116,9 @@
         Self {
             connect_ms: 400,
             unacknowledged_ms: 1_000,
-            configuration_wait_ms: 1_200,
-            discovery_every_ms: 600,
+            configuration_wait_ms: 1_000,
+            discovery_every_ms: 500,
+            mesh_every_ms: 250,
             store_answer_ms: 1_000,
             relisted_ms: 2_200,
             revoked_ms: 5_000,
@@ -209,6 +215,9 @@
         if timing.connect_ms == 0 {
             return fail("timing.connect_ms", "has to be 1 or more");
         }
+        if timing.mesh_every_ms == 0 {
+            return fail("timing.mesh_every_ms", "has to be 1 or more");
+        }
         if timing.discovery_every_ms == 0 {
             return fail("timing.discovery_every_ms", "has to be 1 or more");
         }
--- a/crates/vanillakeel-entry/src/gateway/shared.rs
+++ b/crates/vanillakeel-entry/src/gateway/shared.rs
@@ -26,7 +26,13 @@
     },
     fleet::{
         self,
-        Fleet, //
+        Fleet,
+        Listed, //
+    },
+    mesh::{
+        self,
+        Mesh,
+        Peer, //
     },
     order,
     routes::{
@@ -38,6 +44,17 @@
 /// Margin between a check of freshness and the moment at which it matters, in ms.
 const FRESHNESS_MARGIN_MS: u64 = 300;
 
+/// Time for which a change of an upstream is told to members, in ms; it covers lost datagrams.
+const CHANGE_TOLD_MS: u64 = 3_000;
+
+/// What discovery has shown of an upstream.
+#[derive(Clone, Debug)]
+pub(super) struct Change {
+    pub(super) listed: Listed,
+    /// Whether it is shown no longer.
+    pub(super) is_gone: bool,
+}
+
 /// State of an instance.
 #[derive(Debug)]
 pub(super) struct Shared {
@@ -49,6 +66,15 @@
     pub(super) sockets: RefCell<Sockets>,
     budgets: RefCell<Vec<(Arc<str>, WindowBudget)>>,
     pub(super) metrics: Metrics,
+    pub(super) mesh: RefCell<Mesh>,
+    /// Upstreams that have changed lately, for members that read the log through this instance.
+    pub(super) changes: RefCell<Vec<(Millis, Change)>>,
+    /// When the upstreams were last read from the log.
+    pub(super) upstreams_read: Cell<Option<Millis>>,
+    /// Since when a hub has shown other upstreams than are known here.
+    pub(super) differs_since: Cell<Option<Millis>>,
+    /// Wakes the reader of the configuration since a hub has a newer one.
+    pub(super) newer: Notify,
     /// When the stop was asked for.
     pub(super) stopping: Cell<Option<Millis>>,
     /// Whether connections of callers end after their answers.
@@ -74,6 +100,11 @@
             data_centre: Arc::from(&*settings.instance.data_centre),
             ..fleet::Settings::default()
         };
+        let me = Peer {
+            name: Arc::from(&*settings.instance.name),
+            data_centre: Arc::from(&*settings.instance.data_centre),
+            ..Peer::default()
+        };
         let seed = order::hash(&settings.instance.name);
         Rc::new(Self {
             clock: Clock::start(),
@@ -84,6 +115,11 @@
             sockets: RefCell::default(),
             budgets: RefCell::default(),
             metrics: Metrics::default(),
+            mesh: RefCell::new(Mesh::new(me, mesh::Settings::default())),
+            changes: RefCell::default(),
+            upstreams_read: Cell::new(None),
+            differs_since: Cell::new(None),
+            newer: Notify::new(),
             stopping: Cell::new(None),
             is_closing: Cell::new(false),
             closing: Notify::new(),
@@ -106,6 +142,48 @@
         self.stopping.get().is_none() && self.in_force.borrow().table().is_some()
     }
 
+    /// Instances that share limits with this one, itself among them.
+    pub(super) fn instances(&self) -> u32 {
+        let known = self.mesh.borrow().instances(self.clock.now());
+        known.unwrap_or_else(|| self.settings.borrow().retries.instances)
+    }
+
+    /// Takes what discovery shows of an upstream; returns whether the view has changed.
+    pub(super) fn on_listed(&self, listed: &Listed) -> bool {
+        let is_new = self.fleet.borrow_mut().on_listed(listed);
+        if is_new {
+            tracing::info!(
+                upstream = %listed.name,
+                service = %listed.service,
+                incarnation = listed.incarnation,
+                state = ?listed.state,
+                "upstream listed"
+            );
+            self.note_change(listed.clone(), false);
+        }
+        is_new
+    }
+
+    /// Forgets an upstream that discovery shows no longer.
+    pub(super) fn on_gone(&self, name: &str) {
+        let known = self.fleet.borrow().iter().find(|u| *u.name == *name).cloned();
+        if let Some(listed) = known {
+            self.fleet.borrow_mut().on_removed(name);
+            tracing::info!(upstream = name, "upstream gone");
+            self.note_change(listed, true);
+        }
+    }
+
+    fn note_change(&self, listed: Listed, is_gone: bool) {
+        let now = self.clock.now();
+        let mut changes = self.changes.borrow_mut();
+        // Only the last change of an upstream is told, so that it can be taken more than once.
+        changes.retain(|(at, c)| {
+            now.since(*at) < CHANGE_TOLD_MS && c.listed.name != listed.name
+        });
+        changes.push((now, Change { listed, is_gone }));
+    }
+
     /// Counts a request for a service.
     pub(super) fn on_request(&self, service: &Arc<str>) {
         let now = self.clock.now();
@@ -115,7 +193,7 @@
     /// Takes a repeat from the budget of a service.
     pub(super) fn take_repeat(&self, service: &Arc<str>) -> bool {
         let now = self.clock.now();
-        let instances = self.settings.borrow().retries.instances;
+        let instances = self.instances();
         self.with_budget(service, |b| b.take(now, instances))
     }
 
--- a/crates/vanillakeel-entry/src/gateway/source.rs
+++ b/crates/vanillakeel-entry/src/gateway/source.rs
@@ -18,6 +18,8 @@
     Configuration,
     /// What upstreams say of themselves.
     Upstreams,
+    /// Where instances reach each other.
+    Peers,
 }
 
 /// A record of a keyed topic.
@@ -61,6 +63,9 @@
 /// Reads the records of a topic from an offset; waits so many ms for the first one.
 type Tail = dyn Fn(Topic, u64, u64) -> LocalBoxFuture<'static, Result<Page, ReadError>>;
 
+/// Writes the record of a key, or drops the key.
+type Write = dyn Fn(Topic, Entry) -> LocalBoxFuture<'static, Result<(), ReadError>>;
+
 /// Functions that read and decode what a platform keeps.
 #[derive(Clone)]
 pub struct Source {
@@ -68,6 +73,8 @@
     pub newest: Rc<Newest>,
     /// Records from an offset on.
     pub tail: Rc<Tail>,
+    /// Writes a record.
+    pub write: Rc<Write>,
     /// Key of the routing configuration.
     pub configuration_key: String,
     /// Reads the routing configuration; an error names the field.
@@ -89,6 +96,7 @@
         Self {
             newest: Rc::new(move |_, _| Box::pin(async move { Err(fail()) })),
             tail: Rc::new(move |_, _, _| Box::pin(async move { Err(fail()) })),
+            write: Rc::new(move |_, _| Box::pin(async move { Err(fail()) })),
             configuration_key: "configuration".to_owned(),
             configuration: |_| Err("no source is set".to_owned()),
             upstream: |_, _| Err("no source is set".to_owned()),
--- a/crates/vanillakeel-entry/src/gateway/stop.rs
+++ b/crates/vanillakeel-entry/src/gateway/stop.rs
@@ -12,6 +12,7 @@
 };
 use tokio::{
     signal::unix::{
+        Signal,
         SignalKind,
         signal, //
     },
@@ -27,21 +28,39 @@
 /// Time without a request after which a stopping instance ends, in ms.
 const QUIET_MS: u64 = 700;
 
-/// Handles signals; returns once the process has to end.
-pub(super) async fn until_stopped(shared: &Rc<Shared>, path: &Path) -> io::Result<()> {
-    let mut term = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut hangup = signal(SignalKind::hangup())?;
-    loop {
-        tokio::select! {
-            _ = term.recv() => break,
-            _ = interrupt.recv() => break,
-            _ = hangup.recv() => reload(shared, path),
+/// The signals that a process handles.
+pub(super) struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    pub(super) fn new() -> io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hangup: signal(SignalKind::hangup())?,
+        })
+    }
+
+    /// Reloads the settings when asked to; returns once a stop is asked for.
+    pub(super) async fn until_asked(&mut self, shared: &Rc<Shared>, path: &Path) {
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => break,
+                _ = self.interrupt.recv() => break,
+                _ = self.hangup.recv() => reload(shared, path),
+            }
         }
+        shared.stopping.set(Some(shared.clock.now()));
+        tracing::info!(open = shared.open.get(), "stopping");
     }
-    let since = shared.clock.now();
-    shared.stopping.set(Some(since));
-    tracing::info!(open = shared.open.get(), "stopping");
+}
+
+/// Goes on serving until the balancer has noticed and all requests have ended, or time is up.
+pub(super) async fn drain(shared: &Rc<Shared>) {
+    let since = shared.stopping.get().unwrap_or_default();
     let timing = shared.settings.borrow().timing;
     sleep(Duration::from_millis(timing.balancer_delay_ms)).await;
     shared.is_closing.set(true);
@@ -57,7 +76,6 @@
         };
     }
     tracing::info!(open = shared.open.get(), "stopped");
-    Ok(())
 }
 
 /// Takes new settings; those that only matter at the start stay as they are.
--- a/crates/vanillakeel-entry/src/gateway/watch.rs
+++ b/crates/vanillakeel-entry/src/gateway/watch.rs
@@ -15,7 +15,10 @@
     sync::Arc,
     time::Duration, //
 };
-use tokio::time::sleep;
+use tokio::time::{
+    sleep,
+    timeout, //
+};
 use vanillakeel::{
     Millis,
     routes::Table, //
@@ -24,11 +27,24 @@
 /// Pause after a read that failed, in ms.
 const RETRY_MS: u64 = 250;
 
+/// Pause between two looks at whether a hub still tells what it reads, in ms.
+const COVERED_PAUSE_MS: u64 = 200;
+
+/// A hub's view of the upstreams may differ for this long before the log is read, in ms.
+const DIFFERS_MS: u64 = 600;
+
 /// Follows the configuration for as long as the process runs.
 pub(super) async fn configuration(shared: Rc<Shared>, source: Source) {
     let mut dependency = Dependency::new("configuration");
     let mut next = None;
     loop {
+        if next.is_some() && shared.mesh.borrow().is_covered(shared.clock.now()) {
+            let pause = Duration::from_millis(COVERED_PAUSE_MS);
+            if timeout(pause, shared.newer.notified()).await.is_err() {
+                continue;
+            }
+            next = None;
+        }
         let asked = shared.clock.now();
         let wait_ms = shared.settings.borrow().timing.configuration_wait_ms;
         let read = match next {
@@ -87,6 +103,11 @@
     let mut next = None;
     loop {
         let timing = shared.settings.borrow().timing;
+        if next.is_some() && is_told(&shared) {
+            sleep(Duration::from_millis(COVERED_PAUSE_MS)).await;
+            sweep(&shared);
+            continue;
+        }
         let read = match next {
             None => newest(&source, Topic::Upstreams).await,
             Some(from) => (source.tail)(Topic::Upstreams, from, 0).await,
@@ -103,6 +124,8 @@
                     missing.note_unlisted(&shared, &page);
                 }
                 next = Some(page.next);
+                shared.upstreams_read.set(Some(now));
+                shared.differs_since.set(None);
                 take_upstreams(&shared, &source, &page, &mut missing);
                 missing.drop_due(&shared, now);
                 timing.discovery_every_ms
@@ -128,17 +151,7 @@
         match (source.upstream)(&entry.key, value) {
             Ok(listed) => {
                 missing.forget(&entry.key);
-                let is_new = shared.fleet.borrow_mut().on_listed(&listed);
-                if is_new {
-                    has_changed = true;
-                    tracing::info!(
-                        upstream = %listed.name,
-                        service = %listed.service,
-                        incarnation = listed.incarnation,
-                        state = ?listed.state,
-                        "upstream listed"
-                    );
-                }
+                has_changed |= shared.on_listed(&listed);
             }
             Err(e) => {
                 tracing::warn!(upstream = entry.key, error = %e, "entry of an upstream skipped");
@@ -150,6 +163,14 @@
     }
 }
 
+/// Whether a hub tells the upstreams and its view is the same as here.
+fn is_told(shared: &Shared) -> bool {
+    let now = shared.clock.now();
+    let differs = shared.differs_since.get();
+    let is_same = differs.is_none_or(|since| now.since(since) < DIFFERS_MS);
+    is_same && shared.mesh.borrow().is_covered(now)
+}
+
 fn sweep(shared: &Shared) {
     let now = shared.clock.now();
     let fleet = shared.fleet.borrow();
@@ -198,9 +219,7 @@
             return;
         }
         for name in self.names.drain(..) {
-            if shared.fleet.borrow_mut().on_removed(&name) {
-                tracing::info!(upstream = %name, "upstream gone");
-            }
+            shared.on_gone(&name);
         }
     }
 }
--- a/crates/vanillakeel-wire/src/generated.rs
+++ b/crates/vanillakeel-wire/src/generated.rs
@@ -183,6 +183,110 @@
         GrantPerMille(u32),
     }
 }
+/// What pass-through instances tell each other, one in a datagram.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct MeshMessage {
+    #[prost(string, tag = "1")]
+    pub from: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub data_centre: ::prost::alloc::string::String,
+    #[prost(oneof = "mesh_message::Kind", tags = "3, 4, 5, 6")]
+    pub kind: ::core::option::Option<mesh_message::Kind>,
+}
+/// Nested message and enum types in `MeshMessage`.
+pub mod mesh_message {
+    #[derive(Clone, PartialEq, ::prost::Oneof)]
+    pub enum Kind {
+        #[prost(message, tag = "3")]
+        Report(super::MeshReport),
+        #[prost(message, tag = "4")]
+        Summary(super::MeshSummary),
+        #[prost(message, tag = "5")]
+        Exchange(super::MeshExchange),
+        /// The sender is stopping.
+        #[prost(bool, tag = "6")]
+        Leaving(bool),
+    }
+}
+/// Load that an instance or a data centre puts on upstreams; lists of equal length.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct MeshLoads {
+    /// Hashes of the names.
+    #[prost(fixed32, repeated, tag = "1")]
+    pub upstreams: ::prost::alloc::vec::Vec<u32>,
+    #[prost(uint32, repeated, tag = "2")]
+    pub calls: ::prost::alloc::vec::Vec<u32>,
+    /// Tokens to be read, in units of 64.
+    #[prost(uint32, repeated, tag = "3")]
+    pub tokens: ::prost::alloc::vec::Vec<u32>,
+}
+/// A member to its hub.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct MeshReport {
+    /// The member's clock, in ms.
+    #[prost(uint64, tag = "1")]
+    pub sent: u64,
+    #[prost(message, optional, tag = "2")]
+    pub loads: ::core::option::Option<MeshLoads>,
+}
+/// A hub's answer to a report.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct MeshSummary {
+    /// The clock of the report that is answered.
+    #[prost(uint64, tag = "1")]
+    pub sent: u64,
+    /// Whether the hub reads the log itself and was answered lately.
+    #[prost(bool, tag = "2")]
+    pub fresh: bool,
+    /// Version of the configuration in force at the hub.
+    #[prost(uint64, tag = "3")]
+    pub version: u64,
+    /// Age of the proof that this version is the newest, in ms.
+    #[prost(uint64, tag = "4")]
+    pub proof_age: u64,
+    /// Digest of the upstreams that take new work.
+    #[prost(fixed64, tag = "5")]
+    pub digest: u64,
+    /// Load of all other instances.
+    #[prost(message, optional, tag = "6")]
+    pub loads: ::core::option::Option<MeshLoads>,
+    /// Upstreams that have lately changed.
+    #[prost(message, repeated, tag = "7")]
+    pub changes: ::prost::alloc::vec::Vec<MeshUpstream>,
+    /// Live instances.
+    #[prost(uint32, tag = "8")]
+    pub instances: u32,
+}
+/// A hub to the hubs of other data centres.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct MeshExchange {
+    #[prost(message, optional, tag = "1")]
+    pub loads: ::core::option::Option<MeshLoads>,
+    /// Live instances of the data centre.
+    #[prost(uint32, tag = "2")]
+    pub instances: u32,
+}
+/// An upstream as discovery shows it.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct MeshUpstream {
+    #[prost(string, tag = "1")]
+    pub name: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    #[prost(string, tag = "3")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(string, tag = "4")]
+    pub address: ::prost::alloc::string::String,
+    #[prost(string, tag = "5")]
+    pub data_centre: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "6")]
+    pub slots: u32,
+    #[prost(bool, tag = "7")]
+    pub leaving: bool,
+    /// Discovery shows it no longer.
+    #[prost(bool, tag = "8")]
+    pub gone: bool,
+}
 /// What a claim entry says.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
--- a/crates/vanillakeel/src/fleet/choose.rs
+++ b/crates/vanillakeel/src/fleet/choose.rs
@@ -1,10 +1,11 @@
 //! The choice of an upstream for one request.
 //!
-//! The cost of an upstream is a time in ms: the reading that is queued there, a share for each call
-//! that runs beside it, and the shared parts of the prompt that it would have to read again, which
-//! weigh more than their time since every other call there waits for them too. The upstream that
-//! all instances would pick for the subject counts as holding it, so that instances agree on a home
-//! without a message.
+//! All instances rank the upstreams of a service in the same order for a subject, by rendezvous
+//! hashing, so the first rank is the subject's home and has its prompt cached. A request goes down
+//! the ranks until an upstream is free compared with the others, and takes the cheapest on the way:
+//! the wait there and the shared tokens to be read again. A hot subject so spreads over its first
+//! few ranks, and different subjects spill to different upstreams although all instances see the
+//! same old load.
 
 use super::{
     state::Fleet,
@@ -15,6 +16,7 @@
     order, //
 };
 use std::{
+    cmp::Reverse,
     net::SocketAddr,
     sync::Arc, //
 };
@@ -64,75 +66,125 @@
     pub address: SocketAddr,
     /// Tokens that it probably has to read.
     pub tokens_to_read: u32,
+    /// Expected wait there until the prompt is read, in ms.
+    pub wait_ms: u64,
+}
+
+/// An upstream that is considered, with what it would cost.
+struct Candidate<'a> {
+    upstream: &'a Upstream,
+    /// Expected wait until the prompt is read, in ms.
+    wait_ms: f64,
+    /// Tokens that have to be read.
+    to_read: u32,
+    cost: f64,
 }
 
 impl Fleet {
-    /// The upstream with the least cost that may take a call now.
+    /// The upstream that takes a call now with the least cost.
     #[must_use]
     pub fn choose(&mut self, now: Millis, ask: &Ask<'_>) -> Option<Pick> {
         let jitter = self.roll();
-        let home = self.home(now, ask);
-        let candidates = self.of_service(ask.service).filter(|u| {
-            let is_tried = ask.tried.contains(&u.listed.name);
-            u.is_live() && !is_tried && self.has_room(now, u)
-        });
-        let best = candidates.min_by(|a, b| {
-            let cost = |u: &Upstream| self.cost(u, ask, home.as_deref(), jitter);
-            cost(a).total_cmp(&cost(b))
-        })?;
+        let ranked = self.ranked(now, ask, jitter);
+        let bound = self.bound_ms(ask.service);
+        let best = self.walk(ask, &ranked, bound)?;
         Some(Pick {
-            name: Arc::clone(&best.listed.name),
-            incarnation: best.listed.incarnation,
-            address: best.listed.address,
-            tokens_to_read: self.tokens_to_read(best, ask, home.as_deref()),
+            name: Arc::clone(&best.upstream.listed.name),
+            incarnation: best.upstream.listed.incarnation,
+            address: best.upstream.listed.address,
+            tokens_to_read: best.to_read,
+            wait_ms: best.wait_ms as u64,
         })
     }
 
-    fn has_room(&self, now: Millis, upstream: &Upstream) -> bool {
-        upstream.load.calls < upstream.health.allowance(now)
+    /// Upstreams that may take a call: in the order of rendezvous hashing for the subject, which is
+    /// the same at all instances, or in an order of chance for a request without one.
+    fn ranked(&self, now: Millis, ask: &Ask<'_>, jitter: u64) -> Vec<&Upstream> {
+        let subject = ask.subject();
+        let chore = if subject == 0 { jitter } else { subject };
+        let mut ranked: Vec<_> = self
+            .of_service(ask.service)
+            .filter(|u| u.is_live() && u.load.calls < u.health.allowance(now))
+            .filter(|u| !ask.tried.contains(&u.listed.name))
+            .map(|u| (rank_weight(chore, u.hash), u))
+            .collect();
+        ranked.sort_unstable_by_key(|(weight, _)| Reverse(*weight));
+        ranked.into_iter().map(|(_, u)| u).collect()
     }
 
-    /// The upstream that holds the subject of a request by rendezvous hashing.
-    fn home(&self, now: Millis, ask: &Ask<'_>) -> Option<Arc<str>> {
-        let subject = ask.subject();
-        if subject == 0 {
-            return None;
+    /// Wait up to which an upstream counts as free, relative to the others of its service.
+    fn bound_ms(&self, service: &str) -> f64 {
+        let cfg = self.settings();
+        let (mut total, mut count) = (0.0, 0.0);
+        for upstream in self.of_service(service).filter(|u| u.is_live()) {
+            total += self.wait_ms(upstream);
+            count += 1.0;
         }
-        let chore = subject.to_string();
-        self.of_service(ask.service)
-            .filter(|u| u.is_live() && u.health.allowance(now) > 1)
-            .max_by_key(|u| order::weight(&chore, &u.listed.name))
-            .map(|u| Arc::clone(&u.listed.name))
+        let mean = if count > 0.0 { total / count } else { 0.0 };
+        (mean * cfg.bound_factor).max(cfg.free_ms)
     }
 
-    fn tokens_to_read(&self, upstream: &Upstream, ask: &Ask<'_>, home: Option<&str>) -> u32 {
-        if home == Some(&*upstream.listed.name) {
-            let shared: u32 = ask.shared().iter().map(|p| p.tokens).sum();
-            return ask.prompt_tokens.saturating_sub(shared);
+    /// Walks down the ranks until one is free, and takes the one with the least cost so far.
+    fn walk<'a>(&self, ask: &Ask<'_>, ranked: &[&'a Upstream], bound: f64) -> Option<Candidate<'a>> {
+        let mut best: Option<Candidate<'a>> = None;
+        for (rank, upstream) in ranked.iter().enumerate() {
+            let candidate = self.candidate(ask, upstream, rank);
+            let is_free = candidate.wait_ms <= bound;
+            if best.as_ref().is_none_or(|b| candidate.cost < b.cost) {
+                best = Some(candidate);
+            }
+            if is_free && rank + 1 >= self.settings().min_ranks {
+                break;
+            }
         }
-        let cached: u32 = ask
-            .shared()
+        best
+    }
+
+    fn candidate<'a>(&self, ask: &Ask<'_>, upstream: &'a Upstream, rank: usize) -> Candidate<'a> {
+        let cfg = self.settings();
+        let to_read = self.to_read(ask, upstream, rank);
+        let own = ask.parts.last().map_or(0, |p| p.tokens);
+        let again = f64::from(to_read.saturating_sub(own));
+        let is_far = upstream.listed.data_centre != cfg.data_centre;
+        let wait_ms = self.wait_ms(upstream);
+        Candidate {
+            upstream,
+            wait_ms,
+            to_read,
+            cost: wait_ms
+                + again / cfg.tokens_per_ms * cfg.reread_weight
+                + if is_far { cfg.far_ms } else { 0.0 },
+        }
+    }
+
+    /// Tokens of the prompt that an upstream has not cached; the first rank counts as home.
+    fn to_read(&self, ask: &Ask<'_>, upstream: &Upstream, rank: usize) -> u32 {
+        let shared = ask.shared();
+        let is_home = rank == 0 && ask.tried.is_empty();
+        let cached: u32 = shared
             .iter()
-            .take_while(|p| upstream.cached.contains(p.id))
+            .take_while(|p| is_home || upstream.cached.contains(p.id))
             .map(|p| p.tokens)
             .sum();
         ask.prompt_tokens.saturating_sub(cached)
     }
 
-    fn cost(&self, upstream: &Upstream, ask: &Ask<'_>, home: Option<&str>, jitter: u64) -> f64 {
+    /// Expected wait at an upstream until a new prompt is read, in ms.
+    fn wait_ms(&self, upstream: &Upstream) -> f64 {
         let cfg = self.settings();
-        let load = upstream.load;
+        let calls = f64::from(upstream.calls());
         let slots = f64::from(upstream.listed.slots.max(1));
-        let to_read = self.tokens_to_read(upstream, ask, home);
-        let own: u32 = ask.parts.last().map_or(0, |p| p.tokens);
-        let again = to_read.saturating_sub(own);
-        let far = upstream.listed.data_centre != cfg.data_centre;
-        let noise =
-            order::hash_bytes(&jitter.to_le_bytes()) ^ order::weight("tie", &upstream.listed.name);
-        load.tokens_to_read as f64 / cfg.tokens_per_ms
-            + f64::from(load.calls) * cfg.call_ms / slots
-            + f64::from(again) / cfg.tokens_per_ms * cfg.reread_weight
-            + if far { cfg.far_ms } else { 0.0 }
-            + (noise % 1_000) as f64 / 1_000.0
+        let queued = (calls + 1.0 - slots).max(0.0);
+        upstream.tokens_to_read() as f64 / cfg.tokens_per_ms
+            + calls * cfg.call_ms / slots
+            + queued * cfg.queued_ms / slots
     }
 }
+
+/// Rendezvous weight of an upstream for a subject.
+fn rank_weight(subject: u64, upstream: u32) -> u64 {
+    let mut bytes = [0; 12];
+    bytes[..8].copy_from_slice(&subject.to_le_bytes());
+    bytes[8..].copy_from_slice(&upstream.to_le_bytes());
+    order::hash_bytes(&bytes)
+}
--- a/crates/vanillakeel/src/fleet/state.rs
+++ b/crates/vanillakeel/src/fleet/state.rs
@@ -8,12 +8,14 @@
     upstream::{
         End,
         Listed,
+        Load,
         Upstream, //
     },
 };
 use crate::{
     Millis,
     membership::State,
+    mesh::Loads,
     order, //
 };
 use std::sync::Arc;
@@ -29,6 +31,14 @@
     pub call_ms: f64,
     /// Weight of shared tokens that are read again, relative to the time this takes.
     pub reread_weight: f64,
+    /// Wait for each call that is queued beyond the slots, if there were one slot, in ms.
+    pub queued_ms: f64,
+    /// Ranks that are looked at in any case.
+    pub min_ranks: usize,
+    /// An upstream is free up to this multiple of the mean wait.
+    pub bound_factor: f64,
+    /// An upstream is free up to this wait in any case, in ms.
+    pub free_ms: f64,
     /// Cost of an upstream in another data centre, in ms.
     pub far_ms: f64,
     /// Failures in a row after which an upstream is ejected.
@@ -42,7 +52,11 @@
         Self {
             data_centre: Arc::from(""),
             tokens_per_ms: 50.0,
-            call_ms: 400.0,
+            call_ms: 100.0,
+            queued_ms: 1_000.0,
+            min_ranks: 2,
+            bound_factor: 1.3,
+            free_ms: 150.0,
             reread_weight: 3.0,
             far_ms: 3.0,
             failures_to_eject: 3,
@@ -158,6 +172,41 @@
         self.sorted.iter().map(|u| &u.listed)
     }
 
+    /// What this instance has in flight.
+    #[must_use]
+    pub fn loads(&self) -> Loads {
+        let mut loads = Loads::default();
+        for upstream in &self.sorted {
+            let load = upstream.load;
+            loads.add(upstream.hash, load.calls, load.tokens_to_read);
+        }
+        loads
+    }
+
+    /// Takes what the other instances have in flight.
+    pub fn set_remote(&mut self, loads: &Loads) {
+        for upstream in &mut self.sorted {
+            let (calls, tokens_to_read) = loads.get(upstream.hash);
+            upstream.remote = Load {
+                calls,
+                tokens_to_read,
+            };
+        }
+    }
+
+    /// Digest of the upstreams that take new work.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        self.sorted
+            .iter()
+            .filter(|u| u.is_live())
+            .map(|u| {
+                let incarnation = order::hash_bytes(&u.listed.incarnation.to_le_bytes());
+                (incarnation | 1).wrapping_mul(u64::from(u.hash))
+            })
+            .fold(0, u64::wrapping_add)
+    }
+
     /// Whether `name` is known, in this incarnation, and takes new work.
     #[must_use]
     pub fn is_live(&self, name: &str, incarnation: u64) -> bool {
--- a/crates/vanillakeel/src/fleet/upstream.rs
+++ b/crates/vanillakeel/src/fleet/upstream.rs
@@ -3,6 +3,7 @@
 use super::cached::Cached;
 use crate::{
     membership::State,
+    order,
     routing::Health, //
 };
 use std::{
@@ -70,7 +71,11 @@
 #[derive(Clone, Debug)]
 pub(super) struct Upstream {
     pub(super) listed: Listed,
+    /// Hash of the name, as other instances call it.
+    pub(super) hash: u32,
     pub(super) load: Load,
+    /// What the other instances have in flight.
+    pub(super) remote: Load,
     pub(super) cached: Cached,
     pub(super) health: Health,
     pub(super) failures_in_a_row: u32,
@@ -80,13 +85,25 @@
     pub(super) fn new(listed: &Listed) -> Self {
         Self {
             listed: listed.clone(),
+            hash: order::hash(&listed.name) as u32,
             load: Load::default(),
+            remote: Load::default(),
             cached: Cached::default(),
             health: Health::default(),
             failures_in_a_row: 0,
         }
     }
 
+    /// Calls in flight from all instances.
+    pub(super) fn calls(&self) -> u32 {
+        self.load.calls + self.remote.calls
+    }
+
+    /// Tokens to be read from all instances.
+    pub(super) fn tokens_to_read(&self) -> u64 {
+        self.load.tokens_to_read + self.remote.tokens_to_read
+    }
+
     pub(super) fn is_live(&self) -> bool {
         self.listed.state == State::Live
     }
--- a/crates/vanillakeel/src/lib.rs
+++ b/crates/vanillakeel/src/lib.rs
@@ -7,7 +7,8 @@
 //! - [`text`] reads and checks the operator's text.
 //! - [`admission`], [`routing`], [`subset`], [`attempt`] and [`share`] decide on traffic; [`router`] composes
 //!   them for one instance.
-//! - [`routes`] and [`fleet`] decide where requests that are passed through unchanged go.
+//! - [`routes`] and [`fleet`] decide where requests that are passed through unchanged go; [`mesh`]
+//!   shares load and what was read from the log.
 //! - [`claim`], [`configuration`] and [`lease`] agree through the order of records on a log.
 //! - [`membership`] knows who is live; [`placement`] moves models to what is due first.
 //! - [`verdict`] says whether a request may have run.
@@ -28,6 +29,7 @@
 pub mod fleet;
 pub mod lease;
 pub mod membership;
+pub mod mesh;
 pub mod order;
 pub mod placement;
 pub mod router;
