feat(fleet): short prompts apart, queues bounded, reads of prompts told

What: some upstreams are set apart for short prompts, as many as these fill to a half; a request joins a queue of prompts no longer than twice its target and half the tightest target of more urgent ones, else it is refused as not run with a time to come back; load is told by rank, every 100 ms; parts that an upstream reads are told to all.

Refused drafts come back into the same burst; next.

--- a/crates/vanillakeel-entry/src/gateway.rs
+++ b/crates/vanillakeel-entry/src/gateway.rs
@@ -13,7 +13,7 @@
 //! use vanillakeel_entry::gateway::{Names, Settings, Source, run};
 //! # fn source() -> Source { Source::default() }
 //! let settings = Settings::read("gateway.toml".as_ref())?;
-//! run(settings, "gateway.toml".as_ref(), Names::default(), source())?;
+//! run(settings, "gateway.toml".as_ref(), Names::default(), source(), |_| ())?;
 //! # Ok::<(), Box<dyn std::error::Error>>(())
 //! ```
 
@@ -45,6 +45,7 @@
     },
     names::Names,
     run::{
+        Bound,
         RunError,
         run, //
     },
--- a/crates/vanillakeel-entry/src/gateway/answer.rs
+++ b/crates/vanillakeel-entry/src/gateway/answer.rs
@@ -85,6 +85,8 @@
     NoUpstream,
     /// upstreams are full
     Full,
+    /// prompts are queued for too long, come back in {0} ms
+    Overload(u64),
     /// the time was over before the request was sent
     TooLate,
     /// the instance is stopping
@@ -109,6 +111,7 @@
             Self::Stale => "stale",
             Self::NoUpstream => "no_upstream",
             Self::Full => "full",
+            Self::Overload(_) => "overload",
             Self::TooLate => "too_late",
             Self::Stopping => "stopping",
             Self::Broken => "broken",
@@ -127,6 +130,7 @@
             | Self::Stale
             | Self::NoUpstream
             | Self::Full
+            | Self::Overload(_)
             | Self::TooLate
             | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Self::Broken => StatusCode::BAD_GATEWAY,
@@ -147,6 +151,7 @@
         match self {
             Self::NoConfiguration | Self::Stale | Self::NoUpstream => Some(300),
             Self::Full => Some(100),
+            Self::Overload(ms) => Some(ms),
             Self::Stopping => Some(0),
             _ => None,
         }
--- a/crates/vanillakeel-entry/src/gateway/exchange.rs
+++ b/crates/vanillakeel-entry/src/gateway/exchange.rs
@@ -132,6 +132,8 @@
 pub(super) enum Miss {
     /// no upstream may be sent to now
     NoUpstream,
+    /// prompts are queued for too long, for {0} ms more than is allowed
+    Overload(u64),
     /// all connections to the upstream are in use
     NoConnection,
     /// the upstream could not be reached, nothing was sent
@@ -200,6 +202,7 @@
         return Err(match miss {
             _ if tries.runs > 0 => Refusal::Broken,
             Miss::NoUpstream | Miss::Unreached => Refusal::NoUpstream,
+            Miss::Overload(ms) => Refusal::Overload(ms),
             _ => Refusal::Full,
         });
     }
@@ -222,6 +225,7 @@
     let may_repeat = tries.runs == 0 || (order.route.kind.is_idempotent() && !is_final_run);
     match miss {
         Miss::Lapsed => true,
+        Miss::Overload(_) => false,
         Miss::NoConnection => may_repeat,
         Miss::NoUpstream => {
             let target = order.route.target_ms;
@@ -258,11 +262,17 @@
         service: &order.service,
         parts: &order.parts,
         prompt_tokens: order.prompt_tokens,
+        priority: order.priority,
+        target_ms: order.route.target_ms,
         tried: &tries.tried,
     };
     let pick = shared.fleet.borrow_mut().choose(now, &ask);
     let pick = pick.ok_or(Miss::NoUpstream)?;
-    let ticket = shared.fleet.borrow_mut().on_send(now, &pick, &order.parts);
+    if tries.runs == 0 && tries.refusals == 0 {
+        let admitted = shared.fleet.borrow_mut().admit(now, &ask, &pick);
+        admitted.map_err(Miss::Overload)?;
+    }
+    let ticket = shared.fleet.borrow_mut().on_send(now, &pick, &ask);
     let mut call = Call {
         shared: Rc::clone(shared),
         pick,
@@ -281,6 +291,7 @@
         service = %order.service,
         attempt = tries.runs,
         to_read = call.pick.tokens_to_read,
+        wait_ms = call.pick.wait_ms,
         after_ms = now.since(order.arrived),
         "sent"
     );
@@ -337,7 +348,7 @@
             tracing::info!(upstream = %name, error = %e, "upstream could not be reached");
             drop(reserved);
             tries.tried.push(name);
-            call.settle(End::Failed);
+            call.settle(End::Unreached);
             Err(Miss::Unreached)
         }
     }
--- a/crates/vanillakeel-entry/src/gateway/peers.rs
+++ b/crates/vanillakeel-entry/src/gateway/peers.rs
@@ -32,6 +32,7 @@
     fleet::Listed,
     membership::State,
     mesh::{
+        Load,
         Loads,
         Peer,
         Summary, //
@@ -43,6 +44,7 @@
         MeshExchange,
         MeshLoads,
         MeshMessage,
+        MeshReads,
         MeshReport,
         MeshSummary,
         MeshUpstream,
@@ -178,6 +180,7 @@
         let message = MeshExchange {
             loads: Some(to_wire(&loads)),
             instances,
+            reads: Some(reads_to_wire(shared, now)),
         };
         send(shared, socket, &peer, Kind::Exchange(message)).await;
     }
@@ -188,9 +191,11 @@
 }
 
 fn report(shared: &Shared) -> Kind {
+    let now = shared.clock.now();
     Kind::Report(MeshReport {
-        sent: shared.clock.now().get(),
+        sent: now.get(),
         loads: Some(to_wire(&shared.fleet.borrow().loads())),
+        reads: Some(reads_to_wire(shared, now)),
     })
 }
 
@@ -243,6 +248,7 @@
     shared.mesh.borrow_mut().on_peer(&peer);
     match message.kind {
         Some(Kind::Report(report)) => {
+            take_reads(shared, now, report.reads.as_ref());
             let loads = from_wire(report.loads.as_ref());
             let is_mate = {
                 let mut mesh = shared.mesh.borrow_mut();
@@ -258,6 +264,7 @@
             }
         }
         Some(Kind::Exchange(exchange)) => {
+            take_reads(shared, now, exchange.reads.as_ref());
             let loads = from_wire(exchange.loads.as_ref());
             let mut mesh = shared.mesh.borrow_mut();
             mesh.on_exchange(now, name, &message.data_centre, loads, exchange.instances);
@@ -292,6 +299,7 @@
         loads: Some(to_wire(&loads)),
         changes: changes.iter().map(|(_, c)| change_to_wire(c)).collect(),
         instances,
+        reads: Some(reads_to_wire(shared, now)),
     }
 }
 
@@ -303,6 +311,7 @@
         instances: summary.instances,
     };
     shared.mesh.borrow_mut().on_summary(now, hub, heard);
+    take_reads(shared, now, summary.reads.as_ref());
     let loads = from_wire(summary.loads.as_ref());
     shared.fleet.borrow_mut().set_remote(&loads);
     if !summary.fresh {
@@ -340,12 +349,35 @@
     }
 }
 
+fn reads_to_wire(shared: &Shared, now: Millis) -> MeshReads {
+    let mut wire = MeshReads::default();
+    for read in shared.fleet.borrow().reads(now) {
+        wire.parts.push(read.part);
+        wire.upstreams.push(read.upstream);
+    }
+    wire
+}
+
+fn take_reads(shared: &Shared, now: Millis, wire: Option<&MeshReads>) {
+    let Some(wire) = wire else {
+        return;
+    };
+    let mut fleet = shared.fleet.borrow_mut();
+    for (part, upstream) in wire.parts.iter().zip(&wire.upstreams) {
+        fleet.on_read(now, *part, *upstream);
+    }
+}
+
 fn to_wire(loads: &Loads) -> MeshLoads {
-    let mut wire = MeshLoads::default();
-    for (upstream, calls, tokens) in loads.iter() {
-        wire.upstreams.push(upstream);
-        wire.calls.push(calls);
-        let units = tokens.div_ceil(TOKENS_PER_UNIT);
+    let mut wire = MeshLoads {
+        light_calls: loads.light_calls,
+        ..MeshLoads::default()
+    };
+    for load in loads.iter() {
+        wire.upstreams.push(load.upstream);
+        wire.ranks.push(u32::from(load.rank));
+        wire.calls.push(load.calls);
+        let units = load.tokens.div_ceil(TOKENS_PER_UNIT);
         wire.tokens.push(u32::try_from(units).unwrap_or(u32::MAX));
     }
     wire
@@ -356,9 +388,16 @@
     let Some(wire) = wire else {
         return loads;
     };
-    let rest = wire.calls.iter().zip(&wire.tokens);
-    for (upstream, (calls, units)) in wire.upstreams.iter().zip(rest) {
-        loads.add(*upstream, *calls, u64::from(*units) * TOKENS_PER_UNIT);
+    loads.light_calls = wire.light_calls;
+    let counts = wire.calls.iter().zip(&wire.tokens);
+    let keys = wire.upstreams.iter().zip(&wire.ranks);
+    for ((upstream, rank), (calls, units)) in keys.zip(counts) {
+        loads.add(Load {
+            upstream: *upstream,
+            rank: u8::try_from(*rank).unwrap_or(u8::MAX),
+            calls: *calls,
+            tokens: u64::from(*units) * TOKENS_PER_UNIT,
+        });
     }
     loads
 }
--- a/crates/vanillakeel-entry/src/gateway/request.rs
+++ b/crates/vanillakeel-entry/src/gateway/request.rs
@@ -66,6 +66,8 @@
     pub(super) deadline: Millis,
     pub(super) parts: Vec<Part>,
     pub(super) prompt_tokens: u32,
+    /// Rank at the upstream, zero is the most urgent.
+    pub(super) priority: u8,
     /// Connections to one upstream that this instance may have.
     pub(super) max_connections: u32,
 }
@@ -218,7 +220,8 @@
         set(&names.workspace, &client.workspace);
     }
     let priority = client.and_then(|c| c.priority).unwrap_or(route.priority);
-    set(&names.priority, &priority.min(LOWEST_PRIORITY).to_string());
+    let priority = priority.min(LOWEST_PRIORITY);
+    set(&names.priority, &priority.to_string());
     let max_connections = table.service(service).map_or(1, |s| s.max_connections);
     let instances = shared.instances().max(1);
     let path = head.uri.path_and_query().map_or("/", |p| p.as_str());
@@ -226,6 +229,7 @@
         parts: prompt_parts(headers::text(&head.headers, &names.prompt_parts)),
         prompt_tokens: prompt_tokens(headers::text(&head.headers, &names.token_counts)),
         route: Rc::clone(route),
+        priority,
         service: Arc::clone(service),
         uri: path.parse().map_err(|_| Refusal::BadHeader)?,
         max_connections: (max_connections / instances).max(1),
--- a/crates/vanillakeel-entry/src/gateway/run.rs
+++ b/crates/vanillakeel-entry/src/gateway/run.rs
@@ -54,17 +54,34 @@
 
 impl std::error::Error for RunError {}
 
+/// Addresses that an instance has bound.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bound {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For readiness and metrics.
+    pub operators: SocketAddr,
+}
+
 /// Serves until a signal stops the process; `path` is read again on SIGHUP.
 ///
+/// `on_bound` is told the addresses before the first request is taken.
+///
 /// # Errors
 ///
 /// Returns an error if an address is taken or signals can't be handled.
-pub fn run(settings: Settings, path: &Path, names: Names, source: Source) -> Result<(), RunError> {
+pub fn run(
+    settings: Settings,
+    path: &Path,
+    names: Names,
+    source: Source,
+    on_bound: impl FnOnce(Bound),
+) -> Result<(), RunError> {
     let runtime = Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(RunError::Runtime)?;
-    LocalSet::new().block_on(&runtime, serve(settings, path, names, source))
+    LocalSet::new().block_on(&runtime, serve(settings, path, names, source, on_bound))
 }
 
 async fn serve(
@@ -72,15 +89,21 @@
     path: &Path,
     names: Names,
     source: Source,
+    on_bound: impl FnOnce(Bound),
 ) -> Result<(), RunError> {
     let listen = settings.listen;
     let callers = bind(listen.callers).map_err(RunError::Callers)?;
     let operators = bind(listen.operators).map_err(RunError::Operators)?;
+    let bound = Bound {
+        callers: callers.local_addr().map_err(RunError::Callers)?,
+        operators: operators.local_addr().map_err(RunError::Operators)?,
+    };
+    on_bound(bound);
     tracing::info!(
         instance = settings.instance.name,
         data_centre = settings.instance.data_centre,
-        callers = %listen.callers,
-        operators = %listen.operators,
+        callers = %bound.callers,
+        operators = %bound.operators,
         "started"
     );
     let socket = match listen.peers {
--- a/crates/vanillakeel-entry/src/gateway/settings.rs
+++ b/crates/vanillakeel-entry/src/gateway/settings.rs
@@ -118,7 +118,7 @@
             unacknowledged_ms: 1_000,
             configuration_wait_ms: 1_000,
             discovery_every_ms: 500,
-            mesh_every_ms: 250,
+            mesh_every_ms: 100,
             store_answer_ms: 1_000,
             relisted_ms: 2_200,
             revoked_ms: 5_000,
--- a/crates/vanillakeel-entry/src/gateway/shared.rs
+++ b/crates/vanillakeel-entry/src/gateway/shared.rs
@@ -166,7 +166,12 @@
 
     /// Forgets an upstream that discovery shows no longer.
     pub(super) fn on_gone(&self, name: &str) {
-        let known = self.fleet.borrow().iter().find(|u| *u.name == *name).cloned();
+        let known = self
+            .fleet
+            .borrow()
+            .iter()
+            .find(|u| *u.name == *name)
+            .cloned();
         if let Some(listed) = known {
             self.fleet.borrow_mut().on_removed(name);
             tracing::info!(upstream = name, "upstream gone");
@@ -178,9 +183,7 @@
         let now = self.clock.now();
         let mut changes = self.changes.borrow_mut();
         // Only the last change of an upstream is told, so that it can be taken more than once.
-        changes.retain(|(at, c)| {
-            now.since(*at) < CHANGE_TOLD_MS && c.listed.name != listed.name
-        });
+        changes.retain(|(at, c)| now.since(*at) < CHANGE_TOLD_MS && c.listed.name != listed.name);
         changes.push((now, Change { listed, is_gone }));
     }
 
--- a/crates/vanillakeel-wire/src/generated.rs
+++ b/crates/vanillakeel-wire/src/generated.rs
@@ -219,6 +219,12 @@
     /// Tokens to be read, in units of 64.
     #[prost(uint32, repeated, tag = "3")]
     pub tokens: ::prost::alloc::vec::Vec<u32>,
+    /// Ranks of the requests.
+    #[prost(uint32, repeated, tag = "4")]
+    pub ranks: ::prost::alloc::vec::Vec<u32>,
+    /// Calls with short prompts, at all upstreams.
+    #[prost(uint32, tag = "5")]
+    pub light_calls: u32,
 }
 /// A member to its hub.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -228,6 +234,17 @@
     pub sent: u64,
     #[prost(message, optional, tag = "2")]
     pub loads: ::core::option::Option<MeshLoads>,
+    #[prost(message, optional, tag = "3")]
+    pub reads: ::core::option::Option<MeshReads>,
+}
+/// Parts of prompts that were lately sent to be read; lists of equal length.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct MeshReads {
+    #[prost(fixed64, repeated, tag = "1")]
+    pub parts: ::prost::alloc::vec::Vec<u64>,
+    /// Hashes of the names.
+    #[prost(fixed32, repeated, tag = "2")]
+    pub upstreams: ::prost::alloc::vec::Vec<u32>,
 }
 /// A hub's answer to a report.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -256,6 +273,8 @@
     /// Live instances.
     #[prost(uint32, tag = "8")]
     pub instances: u32,
+    #[prost(message, optional, tag = "9")]
+    pub reads: ::core::option::Option<MeshReads>,
 }
 /// A hub to the hubs of other data centres.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -265,6 +284,8 @@
     /// Live instances of the data centre.
     #[prost(uint32, tag = "2")]
     pub instances: u32,
+    #[prost(message, optional, tag = "3")]
+    pub reads: ::core::option::Option<MeshReads>,
 }
 /// An upstream as discovery shows it.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/vanillakeel/src/fleet.rs
+++ b/crates/vanillakeel/src/fleet.rs
@@ -15,6 +15,7 @@
 //! assert_eq!(pick.map(|p| p.name.to_string()), Some("u-1".to_owned()));
 //! ```
 
+mod admit;
 mod cached;
 pub mod choose;
 mod state;
@@ -28,6 +29,7 @@
     },
     state::{
         Fleet,
+        Read,
         Settings,
         Ticket, //
     },
--- /dev/null
+++ b/crates/vanillakeel/src/fleet/admit.rs
@@ -0,0 +1,75 @@
+//! Whether a request is sent now or refused, and when its caller may come back.
+//!
+//! An engine reads the prompts that it has admitted in the order of their arrival, so a queue of
+//! prompts there delays more urgent requests too, whatever their rank. The queue that a request may
+//! join is therefore bounded by its own target and by a part of the tightest target of more urgent
+//! requests with long prompts. A refusal comes at once, as not run, with the time after which the
+//! queue will have gone.
+
+use super::{
+    choose::{
+        Ask,
+        Pick, //
+    },
+    state::Fleet,
+    upstream::RANKS, //
+};
+use crate::Millis;
+
+/// Time for which a kind of request counts as present after it was last seen, in ms.
+const SEEN_MS: u64 = 10_000;
+
+/// Targets of the requests with long prompts seen lately, by rank.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Targets([Option<(Millis, u64)>; RANKS]);
+
+impl Targets {
+    pub(super) const EMPTY: Self = Self([None; RANKS]);
+
+    fn note(&mut self, now: Millis, rank: usize, target_ms: u64) {
+        let is_old = |seen: Millis| now.since(seen) > SEEN_MS;
+        let known = self.0[rank].filter(|(seen, _)| !is_old(*seen));
+        let least = known.map_or(target_ms, |(_, ms)| ms.min(target_ms));
+        self.0[rank] = Some((now, least));
+    }
+
+    /// The tightest target of more urgent requests.
+    fn tightest_above(&self, now: Millis, rank: usize) -> Option<u64> {
+        self.0[..rank]
+            .iter()
+            .flatten()
+            .filter(|(seen, _)| now.since(*seen) <= SEEN_MS)
+            .map(|(_, ms)| *ms)
+            .min()
+    }
+}
+
+impl Fleet {
+    /// Decides whether a request may be sent where it was chosen to go.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time after which the caller may come back, in ms.
+    pub fn admit(&mut self, now: Millis, ask: &Ask<'_>, pick: &Pick) -> Result<(), u64> {
+        if ask.prompt_tokens == 0 || ask.target_ms == 0 {
+            return Ok(());
+        }
+        let rank = ask.rank();
+        let is_light = self.is_light(ask);
+        if !is_light {
+            self.targets_mut().note(now, rank, ask.target_ms);
+        }
+        let cfg = self.settings();
+        let own = ask.target_ms as f64 * cfg.queue_targets;
+        let tightest = self.targets().tightest_above(now, rank);
+        let limit = match tightest {
+            Some(ms) if !is_light => own.min(ms as f64 * cfg.urgent_targets),
+            _ => own,
+        };
+        let excess = pick.wait_ms as f64 - limit;
+        if excess <= 0.0 {
+            return Ok(());
+        }
+        Err((excess as u64).max(cfg.min_return_ms))
+    }
+}
--- a/crates/vanillakeel/src/fleet/cached.rs
+++ b/crates/vanillakeel/src/fleet/cached.rs
@@ -10,9 +10,13 @@
 pub(super) struct Cached(Vec<(u64, Millis)>);
 
 impl Cached {
-    pub(super) fn insert(&mut self, now: Millis, id: u64) {
+    /// Remembers a part; returns whether it was not known.
+    pub(super) fn insert(&mut self, now: Millis, id: u64) -> bool {
         match self.0.binary_search_by_key(&id, |p| p.0) {
-            Ok(at) => self.0[at].1 = now,
+            Ok(at) => {
+                self.0[at].1 = now;
+                return false;
+            }
             Err(at) => self.0.insert(at, (id, now)),
         }
         if self.0.len() > MAX_PARTS {
@@ -21,6 +25,7 @@
                 self.0.remove(at);
             }
         }
+        true
     }
 
     pub(super) fn contains(&self, id: u64) -> bool {
--- a/crates/vanillakeel/src/fleet/choose.rs
+++ b/crates/vanillakeel/src/fleet/choose.rs
@@ -9,7 +9,10 @@
 
 use super::{
     state::Fleet,
-    upstream::Upstream, //
+    upstream::{
+        RANKS,
+        Upstream, //
+    },
 };
 use crate::{
     Millis,
@@ -21,6 +24,12 @@
     sync::Arc, //
 };
 
+/// Factor between two sizes of the group for light calls.
+const LIGHT_STEP: f64 = 1.35;
+
+/// Fewest upstreams of a service that are divided into groups.
+const MIN_TO_DIVIDE: usize = 3;
+
 /// A part of a prompt.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Part {
@@ -39,16 +48,24 @@
     pub parts: &'a [Part],
     /// Length of the prompt in tokens.
     pub prompt_tokens: u32,
+    /// Rank of the request, zero is the most urgent.
+    pub priority: u8,
+    /// Time to the first event that is in time, in ms.
+    pub target_ms: u64,
     /// Upstreams that were tried already.
     pub tried: &'a [Arc<str>],
 }
 
 impl Ask<'_> {
     /// The parts that other requests have too.
-    fn shared(&self) -> &[Part] {
+    pub(super) fn shared(&self) -> &[Part] {
         self.parts.split_last().map_or(&[], |(_, shared)| shared)
     }
 
+    pub(super) fn rank(&self) -> usize {
+        usize::from(self.priority).min(RANKS - 1)
+    }
+
     /// What identifies the subject of the request, zero if it shares nothing.
     fn subject(&self) -> u64 {
         self.shared().last().map_or(0, |p| p.id)
@@ -85,8 +102,9 @@
     #[must_use]
     pub fn choose(&mut self, now: Millis, ask: &Ask<'_>) -> Option<Pick> {
         let jitter = self.roll();
-        let ranked = self.ranked(now, ask, jitter);
-        let bound = self.bound_ms(ask.service);
+        let group = self.group(now, ask);
+        let ranked = Self::ranked(ask, &group, jitter);
+        let bound = self.bound_ms(ask, &group);
         let best = self.walk(ask, &ranked, bound)?;
         Some(Pick {
             name: Arc::clone(&best.upstream.listed.name),
@@ -97,35 +115,84 @@
         })
     }
 
-    /// Upstreams that may take a call: in the order of rendezvous hashing for the subject, which is
-    /// the same at all instances, or in an order of chance for a request without one.
-    fn ranked(&self, now: Millis, ask: &Ask<'_>, jitter: u64) -> Vec<&Upstream> {
-        let subject = ask.subject();
-        let chore = if subject == 0 { jitter } else { subject };
-        let mut ranked: Vec<_> = self
+    /// Whether a request has a short prompt.
+    pub(super) fn is_light(&self, ask: &Ask<'_>) -> bool {
+        ask.prompt_tokens > 0 && ask.prompt_tokens <= self.settings().light_tokens
+    }
+
+    /// Upstreams that may take a call of this kind.
+    ///
+    /// While a long prompt is read, each token of the calls beside it takes as long as a chunk of
+    /// that prompt. So some upstreams are set apart for light calls, as many as these fill to a
+    /// part of their slots; if none of a group can be used, the others can.
+    fn group(&self, now: Millis, ask: &Ask<'_>) -> Vec<&Upstream> {
+        let usable = |u: &&Upstream| {
+            let has_room = u.load.total_calls() < u.health.allowance(now);
+            u.is_live() && has_room && !ask.tried.contains(&u.listed.name)
+        };
+        let all: Vec<_> = self
             .of_service(ask.service)
-            .filter(|u| u.is_live() && u.load.calls < u.health.allowance(now))
-            .filter(|u| !ask.tried.contains(&u.listed.name))
-            .map(|u| (rank_weight(chore, u.hash), u))
+            .filter(|u| u.is_live())
             .collect();
-        ranked.sort_unstable_by_key(|(weight, _)| Reverse(*weight));
-        ranked.into_iter().map(|(_, u)| u).collect()
+        let light = self.light_count(ask, &all);
+        if light == 0 {
+            return all.into_iter().filter(usable).collect();
+        }
+        let mut order = all;
+        order.sort_unstable_by_key(|u| u.hash);
+        let (light_group, heavy_group) = order.split_at(light);
+        let (own, other) = if self.is_light(ask) {
+            (light_group, heavy_group)
+        } else {
+            (heavy_group, light_group)
+        };
+        let own: Vec<_> = own.iter().copied().filter(usable).collect();
+        if own.is_empty() {
+            return other.iter().copied().filter(usable).collect();
+        }
+        own
     }
 
-    /// Wait up to which an upstream counts as free, relative to the others of its service.
-    fn bound_ms(&self, service: &str) -> f64 {
+    /// How many upstreams are set apart for light calls.
+    fn light_count(&self, ask: &Ask<'_>, all: &[&Upstream]) -> usize {
         let cfg = self.settings();
-        let (mut total, mut count) = (0.0, 0.0);
-        for upstream in self.of_service(service).filter(|u| u.is_live()) {
-            total += self.wait_ms(upstream);
-            count += 1.0;
+        let light_calls = self.all_light_calls();
+        if ask.prompt_tokens == 0 || light_calls == 0 || all.len() < MIN_TO_DIVIDE {
+            return 0;
         }
-        let mean = if count > 0.0 { total / count } else { 0.0 };
+        let slots = all.iter().map(|u| f64::from(u.listed.slots)).sum::<f64>() / all.len() as f64;
+        let wanted = f64::from(light_calls) / (slots * cfg.light_occupancy).max(1.0);
+        // Steps keep the groups of all instances alike although their views differ a little.
+        let step = (wanted.max(1.0).ln() / LIGHT_STEP.ln()).ceil();
+        let most = all.len() as f64 * cfg.max_light_part;
+        LIGHT_STEP.powf(step).ceil().clamp(1.0, most.max(1.0)) as usize
+    }
+
+    /// A group in the order of rendezvous hashing for the subject, which is the same at all
+    /// instances, or in an order of chance for a request without one.
+    fn ranked<'a>(ask: &Ask<'_>, group: &[&'a Upstream], jitter: u64) -> Vec<&'a Upstream> {
+        let subject = ask.subject();
+        let chore = if subject == 0 { jitter } else { subject };
+        let mut ranked = group.to_vec();
+        ranked.sort_by_cached_key(|u| Reverse(rank_weight(chore, u.hash)));
+        ranked
+    }
+
+    /// Wait up to which an upstream counts as free, relative to the others of its group.
+    fn bound_ms(&self, ask: &Ask<'_>, group: &[&Upstream]) -> f64 {
+        let cfg = self.settings();
+        let total: f64 = group.iter().map(|u| self.wait_ms(ask, u)).sum();
+        let mean = total / group.len().max(1) as f64;
         (mean * cfg.bound_factor).max(cfg.free_ms)
     }
 
     /// Walks down the ranks until one is free, and takes the one with the least cost so far.
-    fn walk<'a>(&self, ask: &Ask<'_>, ranked: &[&'a Upstream], bound: f64) -> Option<Candidate<'a>> {
+    fn walk<'a>(
+        &self,
+        ask: &Ask<'_>,
+        ranked: &[&'a Upstream],
+        bound: f64,
+    ) -> Option<Candidate<'a>> {
         let mut best: Option<Candidate<'a>> = None;
         for (rank, upstream) in ranked.iter().enumerate() {
             let candidate = self.candidate(ask, upstream, rank);
@@ -146,7 +213,7 @@
         let own = ask.parts.last().map_or(0, |p| p.tokens);
         let again = f64::from(to_read.saturating_sub(own));
         let is_far = upstream.listed.data_centre != cfg.data_centre;
-        let wait_ms = self.wait_ms(upstream);
+        let wait_ms = self.wait_ms(ask, upstream);
         Candidate {
             upstream,
             wait_ms,
@@ -169,15 +236,16 @@
         ask.prompt_tokens.saturating_sub(cached)
     }
 
-    /// Expected wait at an upstream until a new prompt is read, in ms.
-    fn wait_ms(&self, upstream: &Upstream) -> f64 {
+    /// Expected wait at an upstream until a new prompt is read, in ms: all prompts that are there
+    /// are read first, and a slot has to be free of requests as urgent.
+    fn wait_ms(&self, ask: &Ask<'_>, upstream: &Upstream) -> f64 {
         let cfg = self.settings();
-        let calls = f64::from(upstream.calls());
+        let calls = f64::from(upstream.calls_up_to(ask.rank()));
         let slots = f64::from(upstream.listed.slots.max(1));
         let queued = (calls + 1.0 - slots).max(0.0);
-        upstream.tokens_to_read() as f64 / cfg.tokens_per_ms
+        upstream.tokens_up_to(RANKS - 1) as f64 / cfg.tokens_per_ms
             + calls * cfg.call_ms / slots
-            + queued * cfg.queued_ms / slots
+            + queued * upstream.call_ms / slots
     }
 }
 
--- a/crates/vanillakeel/src/fleet/state.rs
+++ b/crates/vanillakeel/src/fleet/state.rs
@@ -1,21 +1,26 @@
 //! All upstreams and what is in flight at them.
 
 use super::{
+    admit::Targets,
     choose::{
-        Part,
+        Ask,
         Pick, //
     },
     upstream::{
         End,
+        InFlight,
         Listed,
-        Load,
+        RANKS,
         Upstream, //
     },
 };
 use crate::{
     Millis,
     membership::State,
-    mesh::Loads,
+    mesh::{
+        Load,
+        Loads, //
+    },
     order, //
 };
 use std::sync::Arc;
@@ -31,8 +36,20 @@
     pub call_ms: f64,
     /// Weight of shared tokens that are read again, relative to the time this takes.
     pub reread_weight: f64,
-    /// Wait for each call that is queued beyond the slots, if there were one slot, in ms.
-    pub queued_ms: f64,
+    /// Prompts up to this length are light: they hardly delay the tokens of others.
+    pub light_tokens: u32,
+    /// Part of the slots that light calls take of the upstreams set apart for them.
+    pub light_occupancy: f64,
+    /// Queue that a request may join, in multiples of its own target.
+    pub queue_targets: f64,
+    /// Queue that a request may join, in multiples of the tightest target of more urgent ones.
+    pub urgent_targets: f64,
+    /// Shortest time after which a refused caller may come back, in ms.
+    pub min_return_ms: u64,
+    /// Parts from this length on are told to other instances when they are read.
+    pub told_tokens: u32,
+    /// Largest part of a service's upstreams that is set apart for light calls.
+    pub max_light_part: f64,
     /// Ranks that are looked at in any case.
     pub min_ranks: usize,
     /// An upstream is free up to this multiple of the mean wait.
@@ -53,7 +70,13 @@
             data_centre: Arc::from(""),
             tokens_per_ms: 50.0,
             call_ms: 100.0,
-            queued_ms: 1_000.0,
+            light_tokens: 4_096,
+            light_occupancy: 0.5,
+            queue_targets: 2.0,
+            told_tokens: 512,
+            urgent_targets: 0.5,
+            min_return_ms: 1_000,
+            max_light_part: 0.6,
             min_ranks: 2,
             bound_factor: 1.3,
             free_ms: 150.0,
@@ -71,6 +94,9 @@
     name: Arc<str>,
     incarnation: u64,
     tokens_to_read: u32,
+    rank: usize,
+    is_light: bool,
+    sent: Millis,
     has_begun: bool,
 }
 
@@ -80,8 +106,26 @@
     settings: Settings,
     sorted: Vec<Upstream>,
     seed: u64,
+    light_calls: u32,
+    remote_light_calls: u32,
+    targets: Targets,
+    /// Parts that were lately sent to be read, by this instance and those that told it.
+    reads: Vec<Read>,
 }
 
+/// A shared part of a prompt that was sent to an upstream which did not hold it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Read {
+    at: Millis,
+    /// Identity of the part.
+    pub part: u64,
+    /// Hash of the upstream's name.
+    pub upstream: u32,
+}
+
+/// Time for which a read is told to other instances, in ms; it covers lost datagrams.
+const READ_TOLD_MS: u64 = 450;
+
 impl Fleet {
     /// Makes an empty fleet.
     #[must_use]
@@ -90,6 +134,10 @@
             settings,
             sorted: Vec::new(),
             seed,
+            light_calls: 0,
+            remote_light_calls: 0,
+            targets: Targets::EMPTY,
+            reads: Vec::new(),
         }
     }
 
@@ -97,6 +145,14 @@
         &self.settings
     }
 
+    pub(super) const fn targets(&self) -> &Targets {
+        &self.targets
+    }
+
+    pub(super) const fn targets_mut(&mut self) -> &mut Targets {
+        &mut self.targets
+    }
+
     pub(super) fn of_service(&self, service: &str) -> impl Iterator<Item = &Upstream> {
         self.sorted
             .iter()
@@ -175,22 +231,30 @@
     /// What this instance has in flight.
     #[must_use]
     pub fn loads(&self) -> Loads {
-        let mut loads = Loads::default();
+        let mut loads = Loads::with_light(self.light_calls);
         for upstream in &self.sorted {
-            let load = upstream.load;
-            loads.add(upstream.hash, load.calls, load.tokens_to_read);
+            for rank in 0..RANKS {
+                loads.add(Load {
+                    upstream: upstream.hash,
+                    rank: rank as u8,
+                    calls: upstream.load.calls[rank],
+                    tokens: upstream.load.tokens[rank],
+                });
+            }
         }
         loads
     }
 
     /// Takes what the other instances have in flight.
     pub fn set_remote(&mut self, loads: &Loads) {
+        self.remote_light_calls = loads.light_calls;
         for upstream in &mut self.sorted {
-            let (calls, tokens_to_read) = loads.get(upstream.hash);
-            upstream.remote = Load {
-                calls,
-                tokens_to_read,
-            };
+            upstream.remote = InFlight::default();
+            for load in loads.of(upstream.hash) {
+                let rank = usize::from(load.rank).min(RANKS - 1);
+                upstream.remote.calls[rank] += load.calls;
+                upstream.remote.tokens[rank] += load.tokens;
+            }
         }
     }
 
@@ -216,24 +280,77 @@
         })
     }
 
+    /// Calls with short prompts in flight from all instances.
+    pub(super) const fn all_light_calls(&self) -> u32 {
+        self.light_calls + self.remote_light_calls
+    }
+
     /// Counts a call that is sent to a chosen upstream.
-    pub fn on_send(&mut self, now: Millis, pick: &Pick, parts: &[Part]) -> Ticket {
+    pub fn on_send(&mut self, now: Millis, pick: &Pick, ask: &Ask<'_>) -> Ticket {
+        let rank = ask.rank();
+        let is_light = self.is_light(ask);
+        let cfg_tokens = self.settings.told_tokens;
+        let mut reads = Vec::new();
         if let Some(upstream) = self.find_incarnation(&pick.name, pick.incarnation) {
-            upstream.load.calls += 1;
-            upstream.load.tokens_to_read += u64::from(pick.tokens_to_read);
+            upstream.load.calls[rank] += 1;
+            upstream.load.tokens[rank] += u64::from(pick.tokens_to_read);
             upstream.health.on_send();
-            for part in parts {
-                upstream.cached.insert(now, part.id);
+            let hash = upstream.hash;
+            for part in ask.shared() {
+                let is_new = upstream.cached.insert(now, part.id);
+                if is_new && part.tokens >= cfg_tokens {
+                    reads.push((part.id, hash));
+                }
             }
         }
+        for (part, upstream) in reads {
+            self.note_read(now, part, upstream);
+        }
+        if is_light {
+            self.light_calls += 1;
+        }
         Ticket {
             name: Arc::clone(&pick.name),
             incarnation: pick.incarnation,
             tokens_to_read: pick.tokens_to_read,
+            rank,
+            is_light,
+            sent: now,
             has_begun: false,
         }
     }
 
+    fn note_read(&mut self, now: Millis, part: u64, upstream: u32) {
+        self.reads.retain(|r| now.since(r.at) <= READ_TOLD_MS);
+        let is_known = self
+            .reads
+            .iter()
+            .any(|r| r.part == part && r.upstream == upstream);
+        if !is_known {
+            self.reads.push(Read {
+                at: now,
+                part,
+                upstream,
+            });
+        }
+    }
+
+    /// Parts that were lately sent to be read, for other instances.
+    pub fn reads(&self, now: Millis) -> impl Iterator<Item = &Read> {
+        self.reads
+            .iter()
+            .filter(move |r| now.since(r.at) <= READ_TOLD_MS)
+    }
+
+    /// Takes note of a read that another instance has told; a new one is told on.
+    pub fn on_read(&mut self, now: Millis, part: u64, upstream: u32) {
+        let known = self.sorted.iter_mut().find(|u| u.hash == upstream);
+        let is_new = known.is_some_and(|u| u.cached.insert(now, part));
+        if is_new {
+            self.note_read(now, part, upstream);
+        }
+    }
+
     /// Takes note that a call has shown its first event, so its prompt is read.
     pub fn on_first(&mut self, ticket: &mut Ticket) {
         if ticket.has_begun {
@@ -242,26 +359,32 @@
         ticket.has_begun = true;
         let tokens = u64::from(ticket.tokens_to_read);
         if let Some(upstream) = self.find_incarnation(&ticket.name, ticket.incarnation) {
-            let left = upstream.load.tokens_to_read.saturating_sub(tokens);
-            upstream.load.tokens_to_read = left;
+            let left = &mut upstream.load.tokens[ticket.rank];
+            *left = left.saturating_sub(tokens);
         }
     }
 
     /// Takes note that a call has ended.
     pub fn on_end(&mut self, now: Millis, mut ticket: Ticket, end: End) {
         self.on_first(&mut ticket);
+        if ticket.is_light {
+            self.light_calls = self.light_calls.saturating_sub(1);
+        }
         let may_eject = self.may_eject(&ticket.name);
         let limit = self.settings.failures_to_eject;
         let Some(upstream) = self.find_incarnation(&ticket.name, ticket.incarnation) else {
             return;
         };
-        upstream.load.calls = upstream.load.calls.saturating_sub(1);
+        let calls = &mut upstream.load.calls[ticket.rank];
+        *calls = calls.saturating_sub(1);
         match end {
             End::Good => {
+                upstream.on_duration(now.since(ticket.sent));
                 upstream.failures_in_a_row = 0;
                 upstream.health.on_success(upstream.listed.slots);
             }
-            End::Refused | End::Neutral => upstream.health.on_neutral(now),
+            End::Unreached if may_eject => upstream.health.eject(now),
+            End::Refused | End::Neutral | End::Unreached => upstream.health.on_neutral(now),
             End::Failed => {
                 upstream.failures_in_a_row += 1;
                 let is_suspect = upstream.health.is_ejected();
--- a/crates/vanillakeel/src/fleet/upstream.rs
+++ b/crates/vanillakeel/src/fleet/upstream.rs
@@ -54,28 +54,47 @@
     Good,
     /// The upstream refused it without running it.
     Refused,
-    /// The upstream failed: no connection, a broken answer or an error.
+    /// No connection could be established.
+    Unreached,
+    /// The upstream failed: a broken answer or an error.
     Failed,
     /// It ended for a reason that says nothing of the upstream.
     Neutral,
 }
 
-/// What is in flight at an upstream from this instance.
+/// Ranks that are told apart; less urgent ones count as the last.
+pub(super) const RANKS: usize = 10;
+
+/// What is in flight at an upstream, by rank.
 #[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Load {
-    pub(super) calls: u32,
+pub(super) struct InFlight {
+    pub(super) calls: [u32; RANKS],
     /// Tokens to be read of calls that have shown no event yet.
-    pub(super) tokens_to_read: u64,
+    pub(super) tokens: [u64; RANKS],
+}
+
+impl InFlight {
+    pub(super) fn total_calls(&self) -> u32 {
+        self.calls.iter().sum()
+    }
 }
 
+/// Smoothing of the time that a call takes, share of the newest.
+const SMOOTHING: f64 = 0.1;
+
+/// Time that a call takes before one was seen, in ms.
+const FIRST_CALL_MS: f64 = 1_000.0;
+
 #[derive(Clone, Debug)]
 pub(super) struct Upstream {
     pub(super) listed: Listed,
     /// Hash of the name, as other instances call it.
     pub(super) hash: u32,
-    pub(super) load: Load,
+    pub(super) load: InFlight,
     /// What the other instances have in flight.
-    pub(super) remote: Load,
+    pub(super) remote: InFlight,
+    /// Smoothed time of a call, in ms.
+    pub(super) call_ms: f64,
     pub(super) cached: Cached,
     pub(super) health: Health,
     pub(super) failures_in_a_row: u32,
@@ -86,22 +105,29 @@
         Self {
             listed: listed.clone(),
             hash: order::hash(&listed.name) as u32,
-            load: Load::default(),
-            remote: Load::default(),
+            load: InFlight::default(),
+            remote: InFlight::default(),
+            call_ms: FIRST_CALL_MS,
             cached: Cached::default(),
             health: Health::default(),
             failures_in_a_row: 0,
         }
     }
 
-    /// Calls in flight from all instances.
-    pub(super) fn calls(&self) -> u32 {
-        self.load.calls + self.remote.calls
+    /// Calls in flight from all instances, of `rank` and more urgent ones.
+    pub(super) fn calls_up_to(&self, rank: usize) -> u32 {
+        let sum = |load: &InFlight| load.calls[..=rank].iter().sum::<u32>();
+        sum(&self.load) + sum(&self.remote)
+    }
+
+    /// Tokens to be read from all instances, of `rank` and more urgent ones.
+    pub(super) fn tokens_up_to(&self, rank: usize) -> u64 {
+        let sum = |load: &InFlight| load.tokens[..=rank].iter().sum::<u64>();
+        sum(&self.load) + sum(&self.remote)
     }
 
-    /// Tokens to be read from all instances.
-    pub(super) fn tokens_to_read(&self) -> u64 {
-        self.load.tokens_to_read + self.remote.tokens_to_read
+    pub(super) fn on_duration(&mut self, ms: u64) {
+        self.call_ms += SMOOTHING * (ms as f64 - self.call_ms);
     }
 
     pub(super) fn is_live(&self) -> bool {
--- a/crates/vanillakeel/src/mesh.rs
+++ b/crates/vanillakeel/src/mesh.rs
@@ -19,7 +19,10 @@
 mod state;
 
 pub use self::{
-    loads::Loads,
+    loads::{
+        Load,
+        Loads, //
+    },
     state::{
         Mesh,
         Peer,
--- a/crates/vanillakeel/src/mesh/state.rs
+++ b/crates/vanillakeel/src/mesh/state.rs
@@ -207,8 +207,7 @@
     /// The hubs of the other data centres.
     #[must_use]
     pub fn other_hubs(&self, now: Millis) -> Vec<Peer> {
-        let mut data_centres: Vec<&str> =
-            self.peers.iter().map(|k| &*k.peer.data_centre).collect();
+        let mut data_centres: Vec<&str> = self.peers.iter().map(|k| &*k.peer.data_centre).collect();
         data_centres.sort_unstable();
         data_centres.dedup();
         data_centres
--- /dev/null
+++ b/crates/vanillakeel/tests/mesh_hubs.rs
@@ -0,0 +1,143 @@
+//! Who is hub, what is counted, and when an instance has to read the log itself.
+
+use std::sync::Arc;
+use vanillakeel::{
+    Millis,
+    mesh::{
+        Load,
+        Loads,
+        Mesh,
+        Peer,
+        Settings,
+        Summary, //
+    },
+};
+
+const NOW: Millis = Millis::new(60_000);
+
+fn peer(name: &str, data_centre: &str) -> Peer {
+    Peer {
+        name: Arc::from(name),
+        data_centre: Arc::from(data_centre),
+        ..Peer::default()
+    }
+}
+
+/// The view of `me` in two data centres with four instances each.
+fn mesh(me: &str) -> Mesh {
+    let all: Vec<_> = ["a", "b", "c", "d"]
+        .iter()
+        .flat_map(|n| ["1", "2"].map(|dc| peer(&format!("{n}{dc}"), dc)))
+        .collect();
+    let own = all.iter().find(|p| *p.name == *me).expect("one of them");
+    let mut mesh = Mesh::new(own.clone(), Settings::default());
+    for other in &all {
+        mesh.on_peer(other);
+    }
+    mesh
+}
+
+fn hub_name(mesh: &Mesh, now: Millis) -> String {
+    let hub = mesh.hub(now).unwrap_or(mesh.me());
+    hub.name.to_string()
+}
+
+fn loads(calls: u32) -> Loads {
+    let mut loads = Loads::with_light(1);
+    loads.add(Load {
+        upstream: 7,
+        rank: 2,
+        calls,
+        tokens: 100,
+    });
+    loads
+}
+
+fn calls(loads: &Loads) -> u32 {
+    loads.of(7).iter().map(|l| l.calls).sum()
+}
+
+#[test]
+fn one_hub() {
+    let hubs: Vec<_> = ["a1", "b1", "c1", "d1"]
+        .map(|me| hub_name(&mesh(me), NOW))
+        .to_vec();
+    assert!(hubs.iter().all(|h| *h == hubs[0]), "{hubs:?}");
+    let others: Vec<_> = ["a1", "b1"]
+        .map(|me| mesh(me).other_hubs(NOW)[0].name.clone())
+        .to_vec();
+    assert_eq!(others[0], others[1]);
+    assert!(others[0].ends_with('2'));
+}
+
+#[test]
+fn silent_hub() {
+    let mut mesh = mesh("a1");
+    if mesh.is_hub(NOW) {
+        mesh = self::mesh("b1");
+    }
+    let first = hub_name(&mesh, NOW);
+    mesh.on_asked(NOW, &first);
+    mesh.on_asked(NOW.plus(799), &first);
+    assert_eq!(hub_name(&mesh, NOW.plus(799)), first);
+    mesh.on_asked(NOW.plus(800), &first);
+    assert_ne!(hub_name(&mesh, NOW.plus(801)), first);
+    // It gets another chance, and counts at once when it is heard.
+    assert_eq!(hub_name(&mesh, NOW.plus(4_000)), first);
+}
+
+#[test]
+fn hub_that_left() {
+    let mut mesh = mesh("a1");
+    let first = hub_name(&mesh, NOW);
+    mesh.on_left(&first);
+    if first != "a1" {
+        assert_ne!(hub_name(&mesh, NOW), first);
+    }
+}
+
+#[test]
+fn member_not_counted_twice() {
+    let mut mesh = mesh("a1");
+    mesh.on_report(NOW, "b1", loads(2));
+    mesh.on_report(NOW, "c1", loads(3));
+    mesh.on_exchange(NOW, "a2", "2", loads(5), 4);
+    let (own, instances) = mesh.own_zone(NOW, &loads(1), "b1");
+    assert_eq!((calls(&own), instances), (1 + 3, 3));
+    let (others, instances) = mesh.other_zones(NOW);
+    assert_eq!((calls(&others), instances), (5, 4));
+    assert_eq!(mesh.instances(NOW), Some(7));
+    assert!(mesh.is_hub(NOW), "others report to it");
+    // What is old does not count.
+    let later = NOW.plus(1_500);
+    assert_eq!(calls(&mesh.own_zone(later, &loads(1), "").0), 1);
+    assert_eq!(calls(&mesh.other_zones(later).0), 0);
+}
+
+#[test]
+fn coverage_lapses() {
+    let mut mesh = mesh("a1");
+    if mesh.is_hub(NOW) {
+        mesh = self::mesh("b1");
+    }
+    assert!(!mesh.is_covered(NOW));
+    let hub = hub_name(&mesh, NOW);
+    let summary = Summary {
+        sent: NOW,
+        is_fresh: true,
+        instances: 8,
+    };
+    mesh.on_summary(NOW, &hub, summary);
+    assert!(mesh.is_covered(NOW.plus(799)));
+    assert!(!mesh.is_covered(NOW.plus(800)));
+    assert_eq!(mesh.instances(NOW), Some(8));
+    mesh.on_summary(
+        NOW,
+        &hub,
+        Summary {
+            is_fresh: false,
+            ..summary
+        },
+    );
+    assert!(!mesh.is_covered(NOW));
+}
--- /dev/null
+++ b/crates/vanillakeel/tests/passed_routes.rs
@@ -0,0 +1,117 @@
+//! Routes by host and prefix, keys, and what is known of the newest version.
+
+use rstest::rstest;
+use vanillakeel::{
+    Millis,
+    routes::{
+        Client,
+        Freshness,
+        InForce,
+        Parts,
+        Route,
+        Table,
+        Target, //
+    },
+};
+
+fn route(host: &str, prefix: &str) -> Route {
+    Route {
+        name: format!("{host}{prefix}").into(),
+        host: host.into(),
+        prefix: prefix.to_owned(),
+        ..Route::default()
+    }
+}
+
+fn table(version: u64) -> Table {
+    Table::new(Parts {
+        version,
+        routes: vec![
+            route("b.example", "/"),
+            route("a.example", "/x/"),
+            route("a.example", "/x/y/"),
+        ],
+        clients: vec![
+            Client {
+                workspace: "clerks".into(),
+                keys: vec!["k1".to_owned(), "k2".to_owned()],
+                priority: Some(1),
+            },
+            Client {
+                workspace: "members".into(),
+                keys: vec!["k3".to_owned()],
+                priority: None,
+            },
+        ],
+        ..Parts::default()
+    })
+}
+
+#[rstest]
+#[case::short("a.example", "/x/1", Some("a.example/x/"))]
+#[case::longest("a.example", "/x/y/1", Some("a.example/x/y/"))]
+#[case::other_host("b.example", "/x/1", Some("b.example/"))]
+#[case::no_slash("a.example", "/x", None)]
+#[case::no_host("c.example", "/x/1", None)]
+fn found_route(#[case] host: &str, #[case] path: &str, #[case] name: Option<&str>) {
+    let table = table(1);
+    assert_eq!(table.find(host, path).map(|r| &*r.name), name);
+}
+
+#[rstest]
+#[case("k1", Some("clerks"))]
+#[case("k2", Some("clerks"))]
+#[case("k3", Some("members"))]
+#[case("k4", None)]
+#[case("", None)]
+fn key_holder(#[case] key: &str, #[case] workspace: Option<&str>) {
+    let table = table(1);
+    assert_eq!(table.client_of(key).map(|c| &*c.workspace), workspace);
+}
+
+#[test]
+fn split_weights() {
+    let target = |service: &str, weight| Target {
+        service: service.into(),
+        weight,
+    };
+    let route = Route {
+        targets: vec![target("new", 10), target("old", 90)],
+        ..Route::default()
+    };
+    let count = (0..1_000)
+        .filter(|roll| route.service_for(*roll).is_some_and(|s| **s == *"new"))
+        .count();
+    assert_eq!(count, 100);
+}
+
+#[test]
+fn never_older() {
+    let mut in_force = InForce::default();
+    assert!(in_force.put(table(7)));
+    assert!(!in_force.put(table(7)));
+    assert!(!in_force.put(table(3)));
+    assert!(in_force.put(table(12)));
+    assert_eq!(in_force.table().map(|t| t.version()), Some(12));
+}
+
+/// A key may have been revoked since the last proof; the proof counts from when it was asked for.
+#[rstest]
+#[case::fresh(999, true, true)]
+#[case::no_denial(1_000, true, false)]
+#[case::last_moment(3_999, true, false)]
+#[case::stale(4_000, false, false)]
+fn proof_age(#[case] age_ms: u64, #[case] keys: bool, #[case] denial: bool) {
+    let mut in_force = InForce::new(Freshness {
+        keys_ms: 4_000,
+        denial_ms: 1_000,
+    });
+    let asked = Millis::new(5_000);
+    assert!(!in_force.may_use_keys(asked));
+    in_force.prove(asked);
+    // A proof that was asked for earlier and comes later changes nothing.
+    in_force.prove(asked.minus(1_000));
+    let now = asked.plus(age_ms);
+    assert_eq!(in_force.may_use_keys(now), keys);
+    assert_eq!(in_force.may_deny(now), denial);
+}
--- /dev/null
+++ b/crates/vanillakeel/tests/window_budget.rs
@@ -0,0 +1,52 @@
+//! The part of a shared retry budget that one instance may spend.
+
+use vanillakeel::{
+    Millis,
+    attempt::{
+        WindowBudget,
+        WindowSettings, //
+    },
+};
+
+fn budget() -> WindowBudget {
+    WindowBudget::new(WindowSettings {
+        ratio: 0.2,
+        slack: 8.0,
+        window_ms: 10_000,
+    })
+}
+
+fn take_all(budget: &mut WindowBudget, now: Millis, instances: u32) -> usize {
+    (0..100).take_while(|_| budget.take(now, instances)).count()
+}
+
+#[test]
+fn ratio_and_slack() {
+    let mut budget = budget();
+    for _ in 0..20 {
+        budget.on_request(Millis::ZERO);
+    }
+    assert_eq!(take_all(&mut budget, Millis::ZERO, 4), 4 + 2);
+}
+
+#[test]
+fn window_slides() {
+    let mut budget = budget();
+    assert_eq!(take_all(&mut budget, Millis::ZERO, 1), 8);
+    assert_eq!(take_all(&mut budget, Millis::new(10_000), 1), 0);
+    assert_eq!(take_all(&mut budget, Millis::new(10_001), 1), 8);
+}
+
+/// All instances together stay within the bound, whatever the requests are spread like.
+#[test]
+fn shared_bound() {
+    let mut all: Vec<_> = (0..7).map(|_| budget()).collect();
+    for (at, budget) in all.iter_mut().enumerate() {
+        for _ in 0..at * 9 {
+            budget.on_request(Millis::ZERO);
+        }
+    }
+    let requests: usize = (0..7).map(|at| at * 9).sum();
+    let taken: usize = all.iter_mut().map(|b| take_all(b, Millis::ZERO, 7)).sum();
+    assert!(taken as f64 <= requests as f64 * 0.2 + 8.0, "{taken}");
+}
