feat(ctl): explain a request from log lines, bounded lines

Cause: an on-call engineer had lines in the order of time and no way from a request's id to its cause; and nothing bounded the lines under load.

What: explain collects a request's lines and what the instance came to believe meanwhile, names the cause, and says where lines are missing. Lines that come with requests are counted instead of written above a rate, failures later than the rest. Sends and refusals tell the version and the age of its proof.

Ruled out: a filter in the subscriber, which sees a line only after its fields were formatted.

--- a/crates/vanillakeel-ctl/src/main.rs
+++ b/crates/vanillakeel-ctl/src/main.rs
@@ -10,6 +10,10 @@
 use similar::TextDiff;
 use std::{
     fs,
+    io::{
+        self,
+        Read as _, //
+    },
     net::SocketAddr,
     path::PathBuf,
     process::ExitCode,
@@ -19,6 +23,7 @@
 use vanillakeel_ctl::{
     Published,
     current,
+    explain,
     keys,
     publish, //
 };
@@ -103,6 +108,23 @@
                 .arg(file())
                 .arg(log()),
         )
+        .subcommand(
+            Command::new("explain")
+                .about("Tell the story of a request from log lines")
+                .arg(
+                    Arg::new("id")
+                        .value_name("ID")
+                        .required(true)
+                        .help("Identity of the request"),
+                )
+                .arg(
+                    Arg::new("logs")
+                        .value_name("FILE")
+                        .num_args(0..)
+                        .value_parser(value_parser!(PathBuf))
+                        .help("Files with log lines; standard input if none is given"),
+                ),
+        )
         .subcommand(
             Command::new("status")
                 .about("Show the status of instances")
@@ -144,6 +166,7 @@
         Some(("publish", args)) => run_publish(args),
         Some(("show", args)) => show(args),
         Some(("diff", args)) => diff(args),
+        Some(("explain", args)) => run_explain(args),
         Some(("status", args)) => status(args),
         Some(("keys", args)) => run_keys(args),
         _ => Ok(String::new()),
@@ -205,6 +228,27 @@
     Ok(diff.unified_diff().header(&header, "the file").to_string())
 }
 
+/// Tells the story of a request; a request that no line is about is an error.
+fn run_explain(args: &ArgMatches) -> Done {
+    let id = args.get_one::<String>("id").ok_or_else(|| bad("no id"))?;
+    let mut text = String::new();
+    let files = args.get_many::<PathBuf>("logs").unwrap_or_default();
+    if files.len() == 0 {
+        io::stdin().read_to_string(&mut text).map_err(bad)?;
+    }
+    for path in files {
+        let read = fs::read(path).map_err(|e| bad(format!("{}: {e}", path.display())))?;
+        text.push_str(&String::from_utf8_lossy(&read));
+        text.push('\n');
+    }
+    let story = explain::explain(text.lines(), id);
+    if story.is_known() {
+        Ok(story.to_string())
+    } else {
+        Err((1, format!("{id}: {}", story.cause())))
+    }
+}
+
 fn status(args: &ArgMatches) -> Done {
     let mut text = String::new();
     for instance in args.get_many::<SocketAddr>("instance").unwrap_or_default() {
--- /dev/null
+++ b/crates/vanillakeel-ctl/tests/explained_requests.rs
@@ -0,0 +1,56 @@
+//! The cause of a failed request, from log lines.
+
+use rstest::rstest;
+use vanillakeel_ctl::explain::explain;
+
+const LINES: &str = r#"
+noise before
+{"timestamp":"1","message":"upstream listed","upstream":"u1","state":"Live"}
+{"timestamp":"2","message":"sent","request":"cut","upstream":"u1","wait_ms":3}
+{"timestamp":"3","message":"sent","request":"other","upstream":"u1"}
+{"timestamp":"4","message":"upstream could not be reached","upstream":"u1"}
+{"timestamp":"5","message":"answer cut","request":"cut","upstream":"u1","reason":"broke off"}
+front-1 {"timestamp":"6","message":"refused","request":"full","reason":"overload","verdict":"not-run"}
+{"timestamp":"7","message":"sent","request":"lost","upstream":"u2"}
+{"timestamp":"8","message":"send failed","request":"lost","upstream":"u2","reason":"no answer"}
+{"timestamp":"9","message":"refused","request":"lost","reason":"broken","verdict":"may-have-run"}
+{"timestamp":"10","message":"sent","request":"good","upstream":"u2"}
+{"timestamp":"11","message":"answered","request":"good","status":200}
+{"timestamp":"12","message":"sent","request":"open","upstream":"u2"}
+{"timestamp":"13","message":"lines left out","count":7}
+{ broken json
+"#;
+
+#[rstest]
+#[case::cut("cut", "the answer of u1 was cut: broke off, after 1 sends")]
+#[case::refused("full", "refused as not-run: overload, after 0 sends")]
+#[case::lost(
+    "lost",
+    "refused as may-have-run: broken, after 1 sends; last miss: no answer"
+)]
+#[case::good("good", "answered after 1 sends")]
+#[case::open(
+    "open",
+    "no end is on record: the instance stopped or its lines are missing"
+)]
+#[case::unknown("nobody", "no line is about this request")]
+fn cause(#[case] id: &str, #[case] wanted: &str) {
+    assert_eq!(explain(LINES.lines(), id).cause(), wanted);
+}
+
+#[test]
+fn beliefs_shown() {
+    let story = explain(LINES.lines(), "cut").to_string();
+    assert!(story.contains("| 1  upstream listed"), "{story}");
+    assert!(
+        story.contains("| 4  upstream could not be reached"),
+        "{story}"
+    );
+    assert!(!story.contains("other"), "{story}");
+}
+
+#[test]
+fn gaps_told() {
+    let story = explain(LINES.lines(), "open").to_string();
+    assert!(story.contains("lines were left out"), "{story}");
+}
--- a/crates/vanillakeel-entry/src/gateway.rs
+++ b/crates/vanillakeel-entry/src/gateway.rs
@@ -23,6 +23,7 @@
 mod exchange;
 mod guard;
 mod headers;
+mod lines;
 mod metrics;
 mod names;
 mod operators;
--- a/crates/vanillakeel-entry/src/gateway/exchange.rs
+++ b/crates/vanillakeel-entry/src/gateway/exchange.rs
@@ -10,6 +10,7 @@
         SendError, //
     },
     headers,
+    lines::Kind,
     relay::Relay,
     request::Order,
     shared::Shared, //
@@ -74,6 +75,7 @@
 #[derive(Debug)]
 pub(super) struct Call {
     shared: Rc<Shared>,
+    request: Arc<str>,
     pick: Pick,
     ticket: Option<Ticket>,
     client: Option<Client>,
@@ -123,6 +125,14 @@
 
 impl Drop for Call {
     fn drop(&mut self) {
+        let is_cut = self.ticket.is_some() && self.client.is_some();
+        if is_cut && self.shared.may_log(Kind::Failure) {
+            tracing::info!(
+                request = %self.request,
+                upstream = %self.pick.name,
+                "cancelled"
+            );
+        }
         self.settle(End::Neutral);
     }
 }
@@ -209,6 +219,9 @@
 }
 
 fn log_miss(shared: &Shared, order: &Order, tries: &Tries, miss: &Miss) {
+    if !shared.may_log(Kind::Failure) {
+        return;
+    }
     tracing::info!(
         request = %order.id,
         upstream = tries.tried.last().map_or("", |u| u),
@@ -275,6 +288,7 @@
     let ticket = shared.fleet.borrow_mut().on_send(now, &pick, &ask);
     let mut call = Call {
         shared: Rc::clone(shared),
+        request: Arc::clone(&order.id),
         pick,
         ticket: Some(ticket),
         client: None,
@@ -285,16 +299,7 @@
     let req = build(shared, order, &call.pick, order.left_ms(now), after_event);
     tries.tried.push(Arc::clone(&call.pick.name));
     tries.runs += 1;
-    tracing::info!(
-        request = %order.id,
-        upstream = %call.pick.name,
-        service = %order.service,
-        attempt = tries.runs,
-        to_read = call.pick.tokens_to_read,
-        wait_ms = call.pick.wait_ms,
-        after_ms = now.since(order.arrived),
-        "sent"
-    );
+    log_sent(shared, order, tries, &call.pick);
     let sent = match &mut call.client {
         Some(client) => client.send(req).await,
         None => Err(SendError::NotSent),
@@ -314,6 +319,28 @@
     }
 }
 
+fn log_sent(shared: &Shared, order: &Order, tries: &Tries, pick: &Pick) {
+    if !shared.may_log(Kind::Usual) {
+        return;
+    }
+    let now = shared.clock.now();
+    let in_force = shared.in_force.borrow();
+    tracing::info!(
+        request = %order.id,
+        upstream = %pick.name,
+        service = %order.service,
+        route = %order.route.name,
+        version = in_force.table().map(|t| t.version()),
+        proof_age_ms = in_force.age_ms(now),
+        attempt = tries.runs,
+        to_read = pick.tokens_to_read,
+        wait_ms = pick.wait_ms,
+        left_ms = order.left_ms(now),
+        after_ms = now.since(order.arrived),
+        "sent"
+    );
+}
+
 /// Gives a call a kept connection or a new one.
 async fn connect(
     shared: &Rc<Shared>,
@@ -494,6 +521,9 @@
 ) {
     let now = shared.clock.now();
     shared.metrics.on_answer(status, now.since(order.arrived));
+    if !shared.may_log(Kind::Usual) {
+        return;
+    }
     tracing::info!(
         request = %order.id,
         upstream,
--- a/crates/vanillakeel-entry/src/gateway/relay.rs
+++ b/crates/vanillakeel-entry/src/gateway/relay.rs
@@ -12,6 +12,7 @@
         Miss,
         Tries, //
     },
+    lines,
     request::Order,
     shared::Shared, //
 };
@@ -196,6 +197,9 @@
             _ => Arc::from(""),
         };
         self.shared.metrics.broken.inc();
+        if !self.shared.may_log(lines::Kind::Failure) {
+            return;
+        }
         tracing::info!(
             request = %self.order.id,
             upstream = %upstream,
--- a/crates/vanillakeel-entry/src/gateway/request.rs
+++ b/crates/vanillakeel-entry/src/gateway/request.rs
@@ -8,6 +8,7 @@
     },
     exchange,
     headers,
+    lines::Kind,
     shared::Shared, //
 };
 use bytes::Bytes;
@@ -114,13 +115,7 @@
         Ok(response) => response,
         Err(refusal) => {
             shared.metrics.on_refusal(refusal);
-            tracing::info!(
-                request = id.as_deref().unwrap_or(""),
-                reason = refusal.as_str(),
-                verdict = refusal.verdict().as_str(),
-                after_ms = shared.clock.now().since(arrived),
-                "refused"
-            );
+            log_refusal(&shared, id.as_deref(), refusal, arrived);
             let mut response = refusal.response();
             let value = id.as_deref().and_then(|id| HeaderValue::from_str(id).ok());
             if let Some(value) = value {
@@ -143,6 +138,23 @@
     response
 }
 
+fn log_refusal(shared: &Shared, id: Option<&str>, refusal: Refusal, arrived: Millis) {
+    if !shared.may_log(Kind::Failure) {
+        return;
+    }
+    let now = shared.clock.now();
+    let in_force = shared.in_force.borrow();
+    tracing::info!(
+        request = id.unwrap_or(""),
+        reason = refusal.as_str(),
+        verdict = refusal.verdict().as_str(),
+        version = in_force.table().map(|t| t.version()),
+        proof_age_ms = in_force.age_ms(now),
+        after_ms = now.since(arrived),
+        "refused"
+    );
+}
+
 async fn serve(
     shared: &Rc<Shared>,
     arrived: Millis,
--- a/crates/vanillakeel-entry/src/gateway/shared.rs
+++ b/crates/vanillakeel-entry/src/gateway/shared.rs
@@ -2,6 +2,10 @@
 
 use super::{
     client::Dial,
+    lines::{
+        Kind,
+        Lines, //
+    },
     metrics::Metrics,
     names::Names,
     settings::Settings,
@@ -66,6 +70,7 @@
     pub(super) sockets: RefCell<Sockets>,
     budgets: RefCell<Vec<(Arc<str>, WindowBudget)>>,
     pub(super) metrics: Metrics,
+    lines: Lines,
     pub(super) mesh: RefCell<Mesh>,
     /// Upstreams that have changed lately, for members that read the log through this instance.
     pub(super) changes: RefCell<Vec<(Millis, Change)>>,
@@ -115,6 +120,7 @@
             sockets: RefCell::default(),
             budgets: RefCell::default(),
             metrics: Metrics::default(),
+            lines: Lines::default(),
             mesh: RefCell::new(Mesh::new(me, mesh::Settings::default())),
             changes: RefCell::default(),
             upstreams_read: Cell::new(None),
@@ -142,6 +148,11 @@
         self.stopping.get().is_none() && self.in_force.borrow().table().is_some()
     }
 
+    /// Whether a log line that comes with a request may be written.
+    pub(super) fn may_log(&self, kind: Kind) -> bool {
+        self.lines.may_write(self.clock.now(), kind)
+    }
+
     /// Instances that share limits with this one, itself among them.
     pub(super) fn instances(&self) -> u32 {
         let known = self.mesh.borrow().instances(self.clock.now());
