fix(mesh): reckon with instances that are not heard

Ruled out: another rank than the configuration's; the lines of all sends to that upstream show ranks as configured.

Conclusion: kept, with two tests; the largest number of instances heard counts for 15 s.

--- a/crates/vanillakeel-entry/src/gateway/exchange.rs
+++ b/crates/vanillakeel-entry/src/gateway/exchange.rs
@@ -330,6 +330,7 @@
         upstream = %pick.name,
         service = %order.service,
         route = %order.route.name,
+        rank = order.priority,
         version = in_force.table().map(|t| t.version()),
         proof_age_ms = in_force.age_ms(now),
         attempt = tries.runs,
--- a/crates/vanillakeel-entry/src/gateway/peers.rs
+++ b/crates/vanillakeel-entry/src/gateway/peers.rs
@@ -161,6 +161,8 @@
             shared.mesh.borrow_mut().on_asked(now, &hub.name);
             send(shared, socket, &hub, report(shared)).await;
         }
+        let factor = shared.mesh.borrow_mut().unheard_factor(now);
+        shared.fleet.borrow_mut().set_unheard_factor(factor);
         if shared.mesh.borrow().is_hub(now) {
             exchange(shared, socket, now).await;
         }
--- a/crates/vanillakeel/src/fleet/choose.rs
+++ b/crates/vanillakeel/src/fleet/choose.rs
@@ -157,11 +157,11 @@
     fn light_count(&self, ask: &Ask<'_>, all: &[&Upstream]) -> usize {
         let cfg = self.settings();
         let light_calls = self.all_light_calls();
-        if ask.prompt_tokens == 0 || light_calls == 0 || all.len() < MIN_TO_DIVIDE {
+        if ask.prompt_tokens == 0 || light_calls == 0.0 || all.len() < MIN_TO_DIVIDE {
             return 0;
         }
         let slots = all.iter().map(|u| f64::from(u.listed.slots)).sum::<f64>() / all.len() as f64;
-        let wanted = f64::from(light_calls) / (slots * cfg.light_occupancy).max(1.0);
+        let wanted = light_calls / (slots * cfg.light_occupancy).max(1.0);
         // Steps keep the groups of all instances alike although their views differ a little.
         let step = (wanted.max(1.0).ln() / LIGHT_STEP.ln()).ceil();
         let most = all.len() as f64 * cfg.max_light_part;
--- a/crates/vanillakeel/src/fleet/state.rs
+++ b/crates/vanillakeel/src/fleet/state.rs
@@ -108,6 +108,8 @@
     seed: u64,
     light_calls: u32,
     remote_light_calls: u32,
+    /// Instances for each one whose load is known.
+    unheard_factor: f64,
     targets: Targets,
     /// Parts that were lately sent to be read, by this instance and those that told it.
     reads: Vec<Read>,
@@ -136,6 +138,7 @@
             seed,
             light_calls: 0,
             remote_light_calls: 0,
+            unheard_factor: 1.0,
             targets: Targets::EMPTY,
             reads: Vec::new(),
         }
@@ -280,9 +283,14 @@
         })
     }
 
-    /// Calls with short prompts in flight from all instances.
-    pub(super) const fn all_light_calls(&self) -> u32 {
-        self.light_calls + self.remote_light_calls
+    /// Calls with short prompts in flight, from unheard instances too.
+    pub(super) fn all_light_calls(&self) -> f64 {
+        f64::from(self.light_calls + self.remote_light_calls) * self.unheard_factor
+    }
+
+    /// Takes how many instances there are for each one whose load is known.
+    pub const fn set_unheard_factor(&mut self, factor: f64) {
+        self.unheard_factor = factor;
     }
 
     /// Counts a call that is sent to a chosen upstream.
--- a/crates/vanillakeel/src/mesh/state.rs
+++ b/crates/vanillakeel/src/mesh/state.rs
@@ -41,6 +41,8 @@
     pub heard_ms: u64,
     /// A hub that has not answered for this long is passed over.
     pub silent_ms: u64,
+    /// The largest number of instances is remembered for this long.
+    pub remembered_ms: u64,
     /// First time for which a silent peer is passed over; it doubles.
     pub suspect_ms: u64,
     /// Longest time for which a silent peer is passed over.
@@ -52,6 +54,7 @@
         Self {
             heard_ms: 1_500,
             silent_ms: 800,
+            remembered_ms: 15_000,
             suspect_ms: 3_000,
             most_suspect_ms: 30_000,
         }
@@ -111,6 +114,8 @@
     /// Sorted by data centre.
     zones: Vec<Zone>,
     summary: Option<(Millis, Summary)>,
+    /// Most instances that were known lately, and when.
+    most: (Millis, u32),
 }
 
 impl Mesh {
@@ -123,6 +128,7 @@
             peers: Vec::new(),
             zones: Vec::new(),
             summary: None,
+            most: (Millis::ZERO, 1),
         }
     }
 
@@ -317,6 +323,18 @@
         (loads, instances)
     }
 
+    /// How many instances there probably are for each one that is heard.
+    ///
+    /// More than one behind a cut: those on the other side go on sending to the same upstreams.
+    pub fn unheard_factor(&mut self, now: Millis) -> f64 {
+        let heard = self.instances(now).unwrap_or(1).max(1);
+        let is_old = now.since(self.most.0) >= self.settings.remembered_ms;
+        if heard >= self.most.1 || is_old {
+            self.most = (now, heard);
+        }
+        f64::from(self.most.1) / f64::from(heard)
+    }
+
     /// Live instances as far as they are known, this one among them; nothing if nobody tells.
     #[must_use]
     pub fn instances(&self, now: Millis) -> Option<u32> {
--- a/crates/vanillakeel/tests/chosen_upstreams.rs
+++ b/crates/vanillakeel/tests/chosen_upstreams.rs
@@ -237,3 +237,24 @@
     let after = other.choose(NOW, &again).expect("the same");
     assert_eq!((after.name, after.tokens_to_read), (before.name, 2_000));
 }
+
+/// Pattern: an instance that is cut off from the others sends short prompts of its own.
+///
+/// It uses as many upstreams for them as all instances together do, not the first one only.
+#[test]
+fn cut_off_instance() {
+    let mut used = Vec::new();
+    let mut fleet = fleet(30, 1);
+    fleet.set_unheard_factor(40.0);
+    for own in 0..30 {
+        let parts = [Part {
+            id: 50_000 + own,
+            tokens: 900,
+        }];
+        let (pick, _) = send(&mut fleet, NOW, &ask(&parts));
+        used.push(pick.name);
+    }
+    used.sort();
+    used.dedup();
+    assert!(used.len() >= 10, "{} upstreams", used.len());
+}
--- a/crates/vanillakeel/tests/mesh_hubs.rs
+++ b/crates/vanillakeel/tests/mesh_hubs.rs
@@ -141,3 +141,17 @@
     );
     assert!(!mesh.is_covered(NOW));
 }
+
+/// Pattern: an instance is cut off from the others, which go on sending.
+#[test]
+fn unheard_instances() {
+    let mut mesh = mesh("a1");
+    mesh.on_report(NOW, "b1", loads(2));
+    mesh.on_exchange(NOW, "a2", "2", loads(5), 6);
+    let factor = |mesh: &mut Mesh, ms| mesh.unheard_factor(NOW.plus(ms)).round() as u32;
+    assert_eq!(factor(&mut mesh, 0), 1);
+    assert_eq!(factor(&mut mesh, 1_500), 8);
+    // After a while they count as gone.
+    assert_eq!(factor(&mut mesh, 14_999), 8);
+    assert_eq!(factor(&mut mesh, 15_000), 1);
+}
