feat(fleet): tighter targets of the same rank go before looser ones

Also: the speed of reading is learnt from first events; the most urgent leave a full upstream for the shortest wait. Upstreams are read every 800 ms.

--- a/crates/vanillakeel-entry/src/gateway/exchange.rs
+++ b/crates/vanillakeel-entry/src/gateway/exchange.rs
@@ -92,7 +92,8 @@
     /// Takes note of the first event.
     pub(super) fn on_first(&mut self) {
         if let Some(ticket) = &mut self.ticket {
-            self.shared.fleet.borrow_mut().on_first(ticket);
+            let now = self.shared.clock.now();
+            self.shared.fleet.borrow_mut().on_first(now, ticket);
         }
     }
 
@@ -280,10 +281,10 @@
         tried: &tries.tried,
     };
     let pick = shared.fleet.borrow_mut().choose(now, &ask);
-    let pick = pick.ok_or(Miss::NoUpstream)?;
+    let mut pick = pick.ok_or(Miss::NoUpstream)?;
     if tries.runs == 0 && tries.refusals == 0 {
-        let admitted = shared.fleet.borrow_mut().admit(now, &ask, &pick);
-        admitted.map_err(Miss::Overload)?;
+        let admitted = shared.fleet.borrow_mut().admit(now, &ask, pick);
+        pick = admitted.map_err(Miss::Overload)?;
     }
     let ticket = shared.fleet.borrow_mut().on_send(now, &pick, &ask);
     let mut call = Call {
--- a/crates/vanillakeel-entry/src/gateway/settings.rs
+++ b/crates/vanillakeel-entry/src/gateway/settings.rs
@@ -117,7 +117,7 @@
             connect_ms: 400,
             unacknowledged_ms: 1_000,
             configuration_wait_ms: 1_000,
-            discovery_every_ms: 500,
+            discovery_every_ms: 800,
             mesh_every_ms: 100,
             store_answer_ms: 1_000,
             relisted_ms: 2_200,
--- a/crates/vanillakeel/src/fleet/admit.rs
+++ b/crates/vanillakeel/src/fleet/admit.rs
@@ -2,8 +2,8 @@
 //!
 //! An engine reads the prompts that it has admitted in the order of their arrival, so a queue of
 //! prompts there delays more urgent requests too, whatever their rank. The queue that a request may
-//! join is therefore bounded by its own target and by a part of the tightest target of more urgent
-//! requests with long prompts. A refusal comes at once, as not run, with the time after which the
+//! join is therefore bounded by its own target and by a part of the tightest target of requests
+//! with long prompts that go before it. A refusal comes at once, as not run, with the time after which the
 //! queue will have gone.
 
 use super::{
@@ -33,26 +33,29 @@
         self.0[rank] = Some((now, least));
     }
 
-    /// The tightest target of more urgent requests.
-    fn tightest_above(&self, now: Millis, rank: usize) -> Option<u64> {
-        self.0[..rank]
+    /// The tightest target of requests that go before one with this rank and target: more urgent
+    /// ones, and equally urgent ones with a tighter target.
+    fn tightest_before(&self, now: Millis, rank: usize, target_ms: u64) -> Option<u64> {
+        self.0[..=rank]
             .iter()
             .flatten()
             .filter(|(seen, _)| now.since(*seen) <= SEEN_MS)
             .map(|(_, ms)| *ms)
+            .filter(|ms| *ms < target_ms)
             .min()
     }
 }
 
 impl Fleet {
-    /// Decides whether a request may be sent where it was chosen to go.
+    /// Decides whether a request may be sent where it was chosen to go, or to the upstream with the
+    /// shortest wait.
     ///
     /// # Errors
     ///
     /// Returns the time after which the caller may come back, in ms.
-    pub fn admit(&mut self, now: Millis, ask: &Ask<'_>, pick: &Pick) -> Result<(), u64> {
+    pub fn admit(&mut self, now: Millis, ask: &Ask<'_>, pick: Pick) -> Result<Pick, u64> {
         if ask.prompt_tokens == 0 || ask.target_ms == 0 {
-            return Ok(());
+            return Ok(pick);
         }
         let rank = ask.rank();
         let is_light = self.is_light(ask);
@@ -61,15 +64,19 @@
         }
         let cfg = self.settings();
         let own = ask.target_ms as f64 * cfg.queue_targets;
-        let tightest = self.targets().tightest_above(now, rank);
-        let limit = match tightest {
-            Some(ms) if !is_light => own.min(ms as f64 * cfg.urgent_targets),
-            _ => own,
-        };
+        let tightest = self.targets().tightest_before(now, rank, ask.target_ms);
+        let before = tightest.filter(|_| !is_light);
+        let limit = before.map_or(own, |ms| own.min(ms as f64 * cfg.urgent_targets));
         let excess = pick.wait_ms as f64 - limit;
         if excess <= 0.0 {
-            return Ok(());
+            return Ok(pick);
+        }
+        // Reading shared parts once more costs the others time, so only the most urgent requests
+        // leave the upstreams that hold them.
+        let other = before.is_none().then(|| self.shortest(now, ask)).flatten();
+        match other {
+            Some(other) if other.wait_ms as f64 <= limit => Ok(other),
+            _ => Err((excess as u64).max(cfg.min_return_ms)),
         }
-        Err((excess as u64).max(cfg.min_return_ms))
     }
 }
--- a/crates/vanillakeel/src/fleet/choose.rs
+++ b/crates/vanillakeel/src/fleet/choose.rs
@@ -30,6 +30,9 @@
 /// Fewest upstreams of a service that are divided into groups.
 const MIN_TO_DIVIDE: usize = 3;
 
+/// Rank of an upstream that is not taken to hold a subject.
+const NOT_HOME: usize = usize::MAX;
+
 /// A part of a prompt.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Part {
@@ -83,6 +86,8 @@
     pub address: SocketAddr,
     /// Tokens that it probably has to read.
     pub tokens_to_read: u32,
+    /// Tokens of other prompts that are to be read there first.
+    pub tokens_ahead: u64,
     /// Expected wait there until the prompt is read, in ms.
     pub wait_ms: u64,
 }
@@ -97,6 +102,20 @@
     cost: f64,
 }
 
+impl Candidate<'_> {
+    fn pick(&self) -> Pick {
+        let listed = &self.upstream.listed;
+        Pick {
+            name: Arc::clone(&listed.name),
+            incarnation: listed.incarnation,
+            address: listed.address,
+            tokens_to_read: self.to_read,
+            tokens_ahead: self.upstream.tokens_up_to(RANKS - 1),
+            wait_ms: self.wait_ms as u64,
+        }
+    }
+}
+
 impl Fleet {
     /// The upstream that takes a call now with the least cost.
     #[must_use]
@@ -105,14 +124,16 @@
         let group = self.group(now, ask);
         let ranked = Self::ranked(ask, &group, jitter);
         let bound = self.bound_ms(ask, &group);
-        let best = self.walk(ask, &ranked, bound)?;
-        Some(Pick {
-            name: Arc::clone(&best.upstream.listed.name),
-            incarnation: best.upstream.listed.incarnation,
-            address: best.upstream.listed.address,
-            tokens_to_read: best.to_read,
-            wait_ms: best.wait_ms as u64,
-        })
+        self.walk(ask, &ranked, bound).map(|best| best.pick())
+    }
+
+    /// The upstream with the shortest wait, whatever it has to read.
+    pub(super) fn shortest(&self, now: Millis, ask: &Ask<'_>) -> Option<Pick> {
+        let group = self.group(now, ask);
+        let candidates = group.iter().map(|u| self.candidate(ask, u, NOT_HOME));
+        candidates
+            .min_by(|a, b| a.wait_ms.total_cmp(&b.wait_ms))
+            .map(|best| best.pick())
     }
 
     /// Whether a request has a short prompt.
@@ -219,7 +240,7 @@
             wait_ms,
             to_read,
             cost: wait_ms
-                + again / cfg.tokens_per_ms * cfg.reread_weight
+                + again * self.read_ms_per_token() * cfg.reread_weight
                 + if is_far { cfg.far_ms } else { 0.0 },
         }
     }
@@ -243,7 +264,7 @@
         let calls = f64::from(upstream.calls_up_to(ask.rank()));
         let slots = f64::from(upstream.listed.slots.max(1));
         let queued = (calls + 1.0 - slots).max(0.0);
-        upstream.tokens_up_to(RANKS - 1) as f64 / cfg.tokens_per_ms
+        upstream.tokens_up_to(RANKS - 1) as f64 * self.read_ms_per_token()
             + calls * cfg.call_ms / slots
             + queued * upstream.call_ms / slots
     }
--- a/crates/vanillakeel/src/fleet/state.rs
+++ b/crates/vanillakeel/src/fleet/state.rs
@@ -30,8 +30,8 @@
 pub struct Settings {
     /// The data centre of this instance.
     pub data_centre: Arc<str>,
-    /// Tokens of a prompt that an engine reads in a ms.
-    pub tokens_per_ms: f64,
+    /// Time that an engine takes to read a token before this was learnt, in ms.
+    pub read_ms_per_token: f64,
     /// Cost of a call that takes all slots of an upstream, in ms.
     pub call_ms: f64,
     /// Weight of shared tokens that are read again, relative to the time this takes.
@@ -68,7 +68,7 @@
     fn default() -> Self {
         Self {
             data_centre: Arc::from(""),
-            tokens_per_ms: 50.0,
+            read_ms_per_token: 0.02,
             call_ms: 100.0,
             light_tokens: 4_096,
             light_occupancy: 0.5,
@@ -88,12 +88,22 @@
     }
 }
 
+/// Fewest tokens from which the speed of reading is learnt.
+const MIN_LEARNT_TOKENS: u64 = 2_000;
+
+/// Largest factor between the first and the learnt speed of reading.
+const MOST_LEARNT_FACTOR: f64 = 4.0;
+
+/// Smoothing of the speed of reading, share of the newest.
+const READING_SMOOTHING: f64 = 0.05;
+
 /// A call in flight.
 #[derive(Clone, Debug)]
 pub struct Ticket {
     name: Arc<str>,
     incarnation: u64,
     tokens_to_read: u32,
+    tokens_ahead: u64,
     rank: usize,
     is_light: bool,
     sent: Millis,
@@ -110,6 +120,8 @@
     remote_light_calls: u32,
     /// Instances for each one whose load is known.
     unheard_factor: f64,
+    /// Learnt time to read a token, in ms.
+    read_ms_per_token: f64,
     targets: Targets,
     /// Parts that were lately sent to be read, by this instance and those that told it.
     reads: Vec<Read>,
@@ -133,6 +145,7 @@
     #[must_use]
     pub const fn new(settings: Settings, seed: u64) -> Self {
         Self {
+            read_ms_per_token: settings.read_ms_per_token,
             settings,
             sorted: Vec::new(),
             seed,
@@ -321,6 +334,7 @@
             name: Arc::clone(&pick.name),
             incarnation: pick.incarnation,
             tokens_to_read: pick.tokens_to_read,
+            tokens_ahead: pick.tokens_ahead,
             rank,
             is_light,
             sent: now,
@@ -359,8 +373,31 @@
         }
     }
 
+    pub(super) const fn read_ms_per_token(&self) -> f64 {
+        self.read_ms_per_token
+    }
+
+    /// Learns from the time to a first event how fast prompts are read beside everything else.
+    fn learn_reading(&mut self, now: Millis, ticket: &Ticket) {
+        let tokens = ticket.tokens_ahead + u64::from(ticket.tokens_to_read);
+        if tokens < MIN_LEARNT_TOKENS {
+            return;
+        }
+        let seen = now.since(ticket.sent) as f64 / tokens as f64;
+        let first = self.settings.read_ms_per_token;
+        let seen = seen.clamp(first / MOST_LEARNT_FACTOR, first * MOST_LEARNT_FACTOR);
+        self.read_ms_per_token += READING_SMOOTHING * (seen - self.read_ms_per_token);
+    }
+
     /// Takes note that a call has shown its first event, so its prompt is read.
-    pub fn on_first(&mut self, ticket: &mut Ticket) {
+    pub fn on_first(&mut self, now: Millis, ticket: &mut Ticket) {
+        if !ticket.has_begun {
+            self.learn_reading(now, ticket);
+        }
+        self.on_read_ended(ticket);
+    }
+
+    fn on_read_ended(&mut self, ticket: &mut Ticket) {
         if ticket.has_begun {
             return;
         }
@@ -374,7 +411,7 @@
 
     /// Takes note that a call has ended.
     pub fn on_end(&mut self, now: Millis, mut ticket: Ticket, end: End) {
-        self.on_first(&mut ticket);
+        self.on_read_ended(&mut ticket);
         if ticket.is_light {
             self.light_calls = self.light_calls.saturating_sub(1);
         }
--- a/crates/vanillakeel/tests/refused_early.rs
+++ b/crates/vanillakeel/tests/refused_early.rs
@@ -46,7 +46,7 @@
 /// Sends a request if it is admitted.
 fn offer(fleet: &mut Fleet, ask: &Ask<'_>) -> Result<(), u64> {
     let pick = fleet.choose(NOW, ask).expect("an upstream");
-    fleet.admit(NOW, ask, &pick)?;
+    let pick = fleet.admit(NOW, ask, pick)?;
     fleet.on_send(NOW, &pick, ask);
     Ok(())
 }
