--- a/crates/vanillakeel-entry/src/gateway/relay.rs
+++ b/crates/vanillakeel-entry/src/gateway/relay.rs
@@ -60,7 +60,7 @@
 /// Where the bytes come from.
 enum Flow {
     /// An upstream is answering.
-    Running(Call, Incoming),
+    Running(Box<(Call, Incoming)>),
     /// Another upstream is being asked to go on.
     Resuming(Resume),
     /// All was handed on, or nothing more can be.
@@ -95,7 +95,7 @@
             shared: Rc::clone(shared),
             order: Rc::clone(order),
             tries: Some(tries),
-            flow: Flow::Running(call, body),
+            flow: Flow::Running(Box::new((call, body))),
             deadline: Box::pin(sleep(wait)),
             events: is_resumable.then(Events::default),
             start: None,
@@ -130,7 +130,9 @@
         loop {
             let next = match &mut self.flow {
                 Flow::Ended => return Poll::Ready(None),
-                Flow::Running(_, body) => Step::Frame(ready!(Pin::new(body).poll_frame(cx))),
+                Flow::Running(running) => {
+                    Step::Frame(ready!(Pin::new(&mut running.1).poll_frame(cx)))
+                }
                 Flow::Resuming(resume) => Step::Resumed(Box::new(ready!(resume.as_mut().poll(cx)))),
             };
             match next {
@@ -157,8 +159,8 @@
     /// Takes a frame; returns what can be handed on.
     fn on_frame(&mut self, frame: Frame<Bytes>) -> Option<Bytes> {
         let data = frame.into_data().ok()?;
-        if let Flow::Running(call, _) = &mut self.flow {
-            call.on_first();
+        if let Flow::Running(running) = &mut self.flow {
+            running.0.on_first();
         }
         match &mut self.events {
             None => Some(data),
@@ -172,7 +174,8 @@
     }
 
     fn finish(&mut self) {
-        if let Flow::Running(call, _) = std::mem::replace(&mut self.flow, Flow::Ended) {
+        if let Flow::Running(running) = std::mem::replace(&mut self.flow, Flow::Ended) {
+            let (call, _) = *running;
             let upstream = Arc::clone(call.upstream());
             call.end(End::Good);
             exchange::log_answer(
@@ -193,7 +196,7 @@
 
     fn log_end(&self, reason: &str) {
         let upstream = match &self.flow {
-            Flow::Running(call, _) => Arc::clone(call.upstream()),
+            Flow::Running(running) => Arc::clone(running.0.upstream()),
             _ => Arc::from(""),
         };
         self.shared.metrics.broken.inc();
@@ -213,8 +216,8 @@
     /// The upstream has failed: goes on at another one if that is allowed.
     fn on_broken(&mut self, reason: &'static str) {
         self.log_end(reason);
-        if let Flow::Running(call, _) = std::mem::replace(&mut self.flow, Flow::Ended) {
-            call.end(End::Failed);
+        if let Flow::Running(running) = std::mem::replace(&mut self.flow, Flow::Ended) {
+            running.0.end(End::Failed);
         }
         let Some(events) = &mut self.events else {
             return;
@@ -239,7 +242,7 @@
     fn on_resumed(&mut self, (tries, result): Resumed) {
         self.flow = match result {
             Ok((call, response)) if response.status().is_success() => {
-                Flow::Running(call, response.into_body())
+                Flow::Running(Box::new((call, response.into_body())))
             }
             _ => Flow::Ended,
         };
