--- a/crates/vanillakeel-entry/src/gateway/exchange.rs
+++ b/crates/vanillakeel-entry/src/gateway/exchange.rs
@@ -143,7 +143,7 @@
 pub(super) enum Miss {
     /// no upstream may be sent to now
     NoUpstream,
-    /// prompts are queued for too long, for {0} ms more than is allowed
+    /// prompts are queued for too long; room is expected in {0} ms
     Overload(u64),
     /// all connections to the upstream are in use
     NoConnection,
--- a/crates/vanillakeel-entry/src/gateway/metrics.rs
+++ b/crates/vanillakeel-entry/src/gateway/metrics.rs
@@ -45,6 +45,8 @@
     pub(super) bad_datagrams: Counter,
     pub(super) version: Gauge,
     pub(super) upstreams: Gauge,
+    pub(super) peers: Gauge,
+    pub(super) covered: Gauge,
 }
 
 impl Default for Metrics {
@@ -60,6 +62,8 @@
             bad_datagrams: Counter::default(),
             version: Gauge::default(),
             upstreams: Gauge::default(),
+            peers: Gauge::default(),
+            covered: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -106,6 +110,12 @@
             self.version.clone(),
         );
         r.register("upstreams", "Upstreams known", self.upstreams.clone());
+        r.register("peers", "Other instances known", self.peers.clone());
+        r.register(
+            "covered",
+            "Whether a hub reads the log for this instance",
+            self.covered.clone(),
+        );
     }
 
     pub(super) fn on_refusal(&self, refusal: Refusal) {
--- a/crates/vanillakeel-entry/src/gateway/peers.rs
+++ b/crates/vanillakeel-entry/src/gateway/peers.rs
@@ -156,6 +156,7 @@
             return;
         }
         let now = shared.clock.now();
+        show(shared, now);
         let hub = shared.mesh.borrow().hub(now).cloned();
         if let Some(hub) = hub {
             shared.mesh.borrow_mut().on_asked(now, &hub.name);
@@ -169,6 +170,13 @@
     }
 }
 
+fn show(shared: &Shared, now: Millis) {
+    let mesh = shared.mesh.borrow();
+    let peers = i64::try_from(mesh.len()).unwrap_or(i64::MAX);
+    shared.metrics.peers.set(peers);
+    shared.metrics.covered.set(i64::from(mesh.is_covered(now)));
+}
+
 /// Sends the total of the own data centre to the other hubs, and takes theirs into account.
 async fn exchange(shared: &Shared, socket: &UdpSocket, now: Millis) {
     let own = shared.fleet.borrow().loads();
