--- a/crates/vanillakeel/src/fleet/admit.rs
+++ b/crates/vanillakeel/src/fleet/admit.rs
@@ -2,8 +2,8 @@
 //!
 //! An engine reads the prompts that it has admitted in the order of their arrival, so a queue of
 //! prompts there delays more urgent requests too, whatever their rank. The queue that a request may
-//! join is therefore bounded by its own target and by a part of the tightest target of requests
-//! with long prompts that go before it. A refusal comes at once, as not run, with the time after which the
+//! join is therefore bounded by its own target and by the tightest target of requests with long
+//! prompts that go before it. A refusal comes at once, as not run, with the time after which the
 //! queue will have gone.
 
 use super::{
--- a/crates/vanillakeel/src/fleet/state.rs
+++ b/crates/vanillakeel/src/fleet/state.rs
@@ -74,7 +74,7 @@
             light_occupancy: 0.5,
             queue_targets: 2.0,
             told_tokens: 512,
-            urgent_targets: 0.5,
+            urgent_targets: 1.0,
             min_return_ms: 1_000,
             max_light_part: 0.6,
             min_ranks: 2,
