--- a/crates/vanillakeel-entry/src/gateway.rs
+++ b/crates/vanillakeel-entry/src/gateway.rs
@@ -19,6 +19,7 @@
 
 mod accept;
 mod answer;
+mod call;
 mod client;
 mod exchange;
 mod guard;
--- a/crates/vanillakeel-entry/src/gateway/exchange.rs
+++ b/crates/vanillakeel-entry/src/gateway/exchange.rs
@@ -5,6 +5,7 @@
         Answer,
         Refusal, //
     },
+    call::Call,
     client::{
         Client,
         SendError, //
@@ -46,8 +47,7 @@
     fleet::{
         Ask,
         End,
-        Pick,
-        Ticket, //
+        Pick, //
     },
 };
 
@@ -69,75 +69,6 @@
 /// Shortest time worth a send, in ms.
 const MIN_LEFT_MS: u64 = 5;
 
-/// One send of a request to an upstream.
-///
-/// Dropped before its end, it closes the connection, which cancels the work there.
-#[derive(Debug)]
-pub(super) struct Call {
-    shared: Rc<Shared>,
-    request: Arc<str>,
-    pick: Pick,
-    ticket: Option<Ticket>,
-    client: Option<Client>,
-    /// How long the connection may be kept after the answer, in ms.
-    keep_ms: Option<u64>,
-}
-
-impl Call {
-    /// Name of the upstream.
-    pub(super) const fn upstream(&self) -> &Arc<str> {
-        &self.pick.name
-    }
-
-    /// Takes note of the first event.
-    pub(super) fn on_first(&mut self) {
-        if let Some(ticket) = &mut self.ticket {
-            let now = self.shared.clock.now();
-            self.shared.fleet.borrow_mut().on_first(now, ticket);
-        }
-    }
-
-    /// Ends the call; its connection is kept if the whole answer was read.
-    pub(super) fn end(mut self, end: End) {
-        self.settle(end);
-    }
-
-    fn settle(&mut self, end: End) {
-        let now = self.shared.clock.now();
-        if let Some(ticket) = self.ticket.take() {
-            self.shared.fleet.borrow_mut().on_end(now, ticket, end);
-            self.shared.fleet_changed.notify_waiters();
-        }
-        let Some(client) = self.client.take() else {
-            return;
-        };
-        let mut sockets = self.shared.sockets.borrow_mut();
-        let keeps = matches!(end, End::Good | End::Refused) && !client.is_closed();
-        match self.keep_ms {
-            Some(ms) if keeps && ms > 0 => {
-                let cfg = self.shared.settings.borrow().connections;
-                let (name, incarnation) = (&self.pick.name, self.pick.incarnation);
-                sockets.put(&cfg, name, incarnation, client, now.plus(ms));
-            }
-            _ => sockets.on_closed(&self.pick.name, self.pick.incarnation),
-        }
-    }
-}
-
-impl Drop for Call {
-    fn drop(&mut self) {
-        let is_cut = self.ticket.is_some() && self.client.is_some();
-        if is_cut && self.shared.may_log(Kind::Failure) {
-            tracing::info!(
-                request = %self.request,
-                upstream = %self.pick.name,
-                "cancelled"
-            );
-        }
-        self.settle(End::Neutral);
-    }
-}
-
 /// Why a send brought no answer that can be handed on.
 #[derive(Debug, displaydoc::Display)]
 pub(super) enum Miss {
@@ -287,14 +218,7 @@
         pick = admitted.map_err(Miss::Overload)?;
     }
     let ticket = shared.fleet.borrow_mut().on_send(now, &pick, &ask);
-    let mut call = Call {
-        shared: Rc::clone(shared),
-        request: Arc::clone(&order.id),
-        pick,
-        ticket: Some(ticket),
-        client: None,
-        keep_ms: None,
-    };
+    let mut call = Call::new(shared, &order.id, pick, ticket);
     connect(shared, order, tries, &mut call).await?;
     let now = shared.clock.now();
     let req = build(shared, order, &call.pick, order.left_ms(now), after_event);
--- a/crates/vanillakeel-entry/src/gateway/relay.rs
+++ b/crates/vanillakeel-entry/src/gateway/relay.rs
@@ -6,9 +6,9 @@
 
 use super::{
     answer::BodyError,
+    call::Call,
     exchange::{
         self,
-        Call,
         Miss,
         Tries, //
     },
