--- a/crates/vanillakeel-entry/src/gateway/request.rs
+++ b/crates/vanillakeel-entry/src/gateway/request.rs
@@ -212,8 +212,15 @@
     let route = table
         .find(&host, head.uri.path())
         .ok_or(deny(Refusal::NoRoute))?;
-    let access = client_of(shared, table, route, &head.headers, now)?;
-    let client = access.ok_or(deny(Refusal::UnknownKey))?;
+    let client = match access(table, route, &head.headers) {
+        Access::Open => None,
+        Access::Denied => return Err(deny(Refusal::UnknownKey)),
+        // The key may have been revoked unseen.
+        Access::Granted(_) if !shared.in_force.borrow().may_use_keys(now) => {
+            return Err(Refusal::Stale);
+        }
+        Access::Granted(client) => Some(client),
+    };
     let deadline_ms = match headers::text(&head.headers, &names.deadline_ms) {
         Some(text) => text.trim().parse().map_err(|_| Refusal::BadHeader)?,
         None => route.timeout_ms,
@@ -254,28 +261,23 @@
     })
 }
 
-/// The workspace of a request: `Ok(Some(None))` on a public route, `Ok(None)` for an unknown key.
-fn client_of<'a>(
-    shared: &Shared,
-    table: &'a Table,
-    route: &Route,
-    headers: &HeaderMap,
-    now: Millis,
-) -> Result<Option<Option<&'a Client>>, Refusal> {
+/// What the key of a request allows.
+enum Access<'a> {
+    /// No key is asked for.
+    Open,
+    /// The key is a workspace's.
+    Granted(&'a Client),
+    /// The key is missing, or nobody's.
+    Denied,
+}
+
+/// Looks up the key of a request.
+fn access<'a>(table: &'a Table, route: &Route, headers: &HeaderMap) -> Access<'a> {
     if route.public || !table.asks_for_keys() {
-        return Ok(Some(None));
-    }
-    let Some(key) = bearer(headers) else {
-        return Ok(None);
-    };
-    let Some(client) = table.client_of(key) else {
-        return Ok(None);
-    };
-    // The key may have been revoked unseen.
-    if !shared.in_force.borrow().may_use_keys(now) {
-        return Err(Refusal::Stale);
+        return Access::Open;
     }
-    Ok(Some(Some(client)))
+    let client = bearer(headers).and_then(|key| table.client_of(key));
+    client.map_or(Access::Denied, Access::Granted)
 }
 
 fn bearer(headers: &HeaderMap) -> Option<&str> {
