feat(routes): ranks by the workspace's priority, then the route's

Now: a rank for each pair in the order of tier, then route; tiers never mix; where the pairs are more than the ranks, the least urgent routes of a tier share one.

--- a/crates/vanillakeel-entry/src/gateway/request.rs
+++ b/crates/vanillakeel-entry/src/gateway/request.rs
@@ -45,9 +45,6 @@
     },
 };
 
-/// Lowest rank that an upstream knows.
-const LOWEST_PRIORITY: u8 = 9;
-
 /// Parts of a prompt that are looked at; more are not worth their time.
 const MAX_PARTS: usize = 64;
 
@@ -238,8 +235,7 @@
     if let Some(client) = client {
         set(&names.workspace, &client.workspace);
     }
-    let priority = client.and_then(|c| c.priority).unwrap_or(route.priority);
-    let priority = priority.min(LOWEST_PRIORITY);
+    let priority = table.rank(client, route);
     set(&names.priority, &priority.to_string());
     let max_connections = table.service(service).map_or(1, |s| s.max_connections);
     let instances = shared.instances().max(1);
--- a/crates/vanillakeel/src/routes.rs
+++ b/crates/vanillakeel/src/routes.rs
@@ -15,6 +15,7 @@
 
 mod in_force;
 mod parts;
+mod ranks;
 
 pub use self::{
     in_force::{
@@ -32,6 +33,7 @@
     },
 };
 
+use self::ranks::Ranks;
 use crate::order;
 use std::rc::Rc;
 
@@ -46,6 +48,7 @@
     /// Keys with the place of their workspace, sorted by the hash of the key.
     keys: Vec<(u64, String, usize)>,
     clients: Vec<Client>,
+    ranks: Ranks,
     limits: Limits,
 }
 
@@ -60,6 +63,11 @@
             clients,
             limits,
         } = parts;
+        let workspaces: Vec<_> = clients.iter().map(|c| c.priority).collect();
+        let mut priorities: Vec<_> = routes.iter().map(|r| r.priority).collect();
+        priorities.sort_unstable();
+        priorities.dedup();
+        let ranks = Ranks::new(&workspaces, &priorities);
         let mut routes: Vec<_> = routes.into_iter().map(Rc::new).collect();
         routes.sort_by(|a, b| {
             let by_length = b.prefix.len().cmp(&a.prefix.len());
@@ -82,6 +90,7 @@
             services,
             keys,
             clients,
+            ranks,
             limits,
         }
     }
@@ -141,4 +150,14 @@
             .find(|k| k.1 == key)
             .map(|k| &self.clients[k.2])
     }
+
+    /// Rank at an upstream of a request on `route` by `client`, from 0, the most urgent, to 9.
+    ///
+    /// The workspace's priority goes before the route's; within one priority of workspaces, the
+    /// routes keep their order.
+    #[must_use]
+    pub fn rank(&self, client: Option<&Client>, route: &Route) -> u8 {
+        self.ranks
+            .rank(client.and_then(|c| c.priority), route.priority)
+    }
 }
--- /dev/null
+++ b/crates/vanillakeel/src/routes/ranks.rs
@@ -0,0 +1,78 @@
+//! Ranks of requests at an upstream, from the priorities of workspaces and routes.
+
+/// Ranks that upstreams tell apart, zero is the most urgent.
+const RANKS: usize = 10;
+
+/// Ranks of one version of the routing configuration.
+///
+/// The priority of a workspace goes before the one of a route. Requests of workspaces with the same
+/// priority keep the order of their routes, so that a short question doesn't make way for a long
+/// draft only because both belong to workspaces of one tier. Where there are more combinations than
+/// ranks, the least urgent routes of a tier share one.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(super) struct Ranks {
+    /// Sorted by priority.
+    tiers: Vec<Tier>,
+}
+
+/// What has the same priority, by its workspace or else by its route.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Tier {
+    priority: u8,
+    /// Sorted priorities of the routes.
+    routes: Vec<u8>,
+    /// Rank of the most urgent route.
+    first: usize,
+    /// Ranks that the tier takes.
+    len: usize,
+}
+
+impl Ranks {
+    /// Builds the ranks for the priorities of workspaces, `None` where the route decides, and those
+    /// of routes.
+    pub(super) fn new(workspaces: &[Option<u8>], routes: &[u8]) -> Self {
+        let mut pairs: Vec<_> = routes.iter().map(|route| (*route, *route)).collect();
+        let mut own: Vec<u8> = workspaces.iter().flatten().copied().collect();
+        own.sort_unstable();
+        own.dedup();
+        for priority in own {
+            pairs.extend(routes.iter().map(|route| (priority, *route)));
+        }
+        pairs.sort_unstable();
+        pairs.dedup();
+        let mut tiers: Vec<_> = pairs
+            .chunk_by(|a, b| a.0 == b.0)
+            .map(|tier| Tier {
+                priority: tier[0].0,
+                routes: tier.iter().map(|pair| pair.1).collect(),
+                first: 0,
+                len: 1,
+            })
+            .collect();
+        let taken = |most: usize| {
+            tiers
+                .iter()
+                .map(|t| t.routes.len().min(most))
+                .sum::<usize>()
+        };
+        let most = (1..=RANKS).rev().find(|most| taken(*most) <= RANKS);
+        let mut first = 0;
+        for tier in &mut tiers {
+            tier.first = first;
+            tier.len = tier.routes.len().min(most.unwrap_or(1));
+            first += tier.len;
+        }
+        Self { tiers }
+    }
+
+    /// Rank of a request by the priorities of its workspace and its route.
+    pub(super) fn rank(&self, workspace: Option<u8>, route: u8) -> u8 {
+        let priority = workspace.unwrap_or(route);
+        let at = self.tiers.partition_point(|t| t.priority < priority);
+        let rank = self.tiers.get(at).map_or(RANKS, |tier| {
+            let place = tier.routes.partition_point(|r| *r < route);
+            tier.first + place.min(tier.len - 1)
+        });
+        rank.min(RANKS - 1) as u8
+    }
+}
--- /dev/null
+++ b/crates/vanillakeel/tests/ranked_requests.rs
@@ -0,0 +1,87 @@
+//! Ranks of requests: a tier of workspaces first, then the routes in their order.
+//!
+//! Pattern: a burst of long drafts by workspaces of one tier, beside short questions of workspaces
+//! of the same tier; upstreams put back the newest of the least urgent requests.
+
+use rstest::rstest;
+use vanillakeel::routes::{
+    Client,
+    Parts,
+    Route,
+    Table, //
+};
+
+/// Routes of a question, a review and a draft, with the priorities 0, 1 and 2.
+fn routes() -> Vec<Route> {
+    let priorities = [0, 1, 2];
+    let route = |priority| Route {
+        host: "a.example".into(),
+        prefix: format!("/{priority}/"),
+        priority,
+        ..Route::default()
+    };
+    priorities.into_iter().map(route).collect()
+}
+
+fn client(priority: Option<u8>) -> Client {
+    Client {
+        keys: vec![format!("key-{priority:?}")],
+        priority,
+        ..Client::default()
+    }
+}
+
+fn table(priorities: &[Option<u8>]) -> Table {
+    Table::new(Parts {
+        version: 1,
+        routes: routes(),
+        clients: priorities.iter().copied().map(client).collect(),
+        ..Parts::default()
+    })
+}
+
+fn rank(table: &Table, workspace: Option<u8>, route: u8) -> u8 {
+    let path = format!("/{route}/x");
+    let route = table.find("a.example", &path).expect("route");
+    table.rank(Some(&client(workspace)), route)
+}
+
+#[test]
+fn route_order() {
+    let table = table(&[Some(0), Some(1)]);
+    for tier in [Some(0), Some(1)] {
+        let ranks = [0, 1, 2].map(|route| rank(&table, tier, route));
+        assert!(ranks.is_sorted_by(|a, b| a < b), "tier {tier:?}: {ranks:?}");
+    }
+}
+
+#[rstest]
+#[case::two(&[Some(0), Some(1)])]
+#[case::mixed(&[Some(1), None])]
+#[case::many(&[Some(0), Some(1), Some(2), Some(5), Some(9)])]
+fn tier_first(#[case] tiers: &[Option<u8>]) {
+    let table = table(tiers);
+    let mut given: Vec<_> = tiers.iter().flatten().copied().collect();
+    given.sort_unstable();
+    for pair in given.windows(2) {
+        let last = rank(&table, Some(pair[0]), 2);
+        let first = rank(&table, Some(pair[1]), 0);
+        assert!(last < first, "tiers {pair:?}: {last}, {first}");
+        assert!(first <= 9, "tiers {pair:?}: {first}");
+    }
+}
+
+#[test]
+fn route_alone() {
+    let table = table(&[None]);
+    let ranks = [0, 1, 2].map(|route| rank(&table, None, route));
+    assert_eq!(ranks, [0, 1, 2]);
+}
+
+#[test]
+fn shared_rank() {
+    let all: Vec<_> = (0..10).map(Some).collect();
+    let table = table(&all);
+    let ranks: Vec<_> = (0..10).map(|p| rank(&table, Some(p), 2)).collect();
+    assert_eq!(ranks, (0..10).collect::<Vec<u8>>());
+}
