feat(gateway): time to the first event and longest pause, by rank

Cause: drafts were late where the expected wait was short; lines and metrics told only the time to the end of an answer. Now: the lines of answers carry first_ms and gap_ms, histograms of first event, longest pause and whole answer are by rank, and lines that were not written are counted. Ruled out: a line of its own for the first event (one more line a request).

--- a/crates/vanillakeel-entry/src/gateway.rs
+++ b/crates/vanillakeel-entry/src/gateway.rs
@@ -29,6 +29,7 @@
 mod names;
 mod operators;
 mod peers;
+mod progress;
 mod relay;
 mod request;
 mod run;
--- a/crates/vanillakeel-entry/src/gateway/exchange.rs
+++ b/crates/vanillakeel-entry/src/gateway/exchange.rs
@@ -12,6 +12,8 @@
     },
     headers,
     lines::Kind,
+    metrics::Times,
+    progress::Progress,
     relay::Relay,
     request::Order,
     shared::Shared, //
@@ -415,7 +417,10 @@
             let is_failure = head.status.is_server_error();
             let upstream = Arc::clone(call.upstream());
             call.end(if is_failure { End::Failed } else { End::Good });
-            log_answer(shared, order, &upstream, head.status, bytes.len() as u64);
+            let mut progress = Progress::default();
+            progress.on_part(shared.clock.now());
+            progress.bytes = bytes.len() as u64;
+            log_answer(shared, order, &upstream, head.status, &progress);
             let response = Response::from_parts(head, Answer::Whole(Some(bytes)));
             Ok(if is_failure {
                 Delivery::Failure(response)
@@ -443,10 +448,16 @@
     order: &Order,
     upstream: &str,
     status: StatusCode,
-    bytes: u64,
+    progress: &Progress,
 ) {
     let now = shared.clock.now();
-    shared.metrics.on_answer(status, now.since(order.arrived));
+    let first_ms = progress.first_ms(order.arrived);
+    let times = Times {
+        first_ms,
+        longest_gap_ms: progress.longest_gap_ms(),
+        whole_ms: now.since(order.arrived),
+    };
+    shared.metrics.on_answer(order.priority, status, &times);
     if !shared.may_log(Kind::Usual) {
         return;
     }
@@ -454,8 +465,10 @@
         request = %order.id,
         upstream,
         status = status.as_u16(),
-        bytes,
-        after_ms = now.since(order.arrived),
+        bytes = progress.bytes,
+        first_ms,
+        gap_ms = progress.longest_gap_ms(),
+        after_ms = times.whole_ms,
         "answered"
     );
 }
--- a/crates/vanillakeel-entry/src/gateway/metrics.rs
+++ b/crates/vanillakeel-entry/src/gateway/metrics.rs
@@ -16,8 +16,8 @@
     registry::Registry,
 };
 
-/// Bounds of the histogram of whole answers, in seconds.
-const ANSWER_BOUNDS_S: [f64; 9] = [0.01, 0.03, 0.1, 0.3, 0.6, 1.0, 2.0, 5.0, 15.0];
+/// Bounds of the histograms of times, in seconds.
+const BOUNDS_S: [f64; 9] = [0.01, 0.03, 0.1, 0.3, 0.6, 1.0, 2.0, 5.0, 15.0];
 
 /// Labels of a refusal.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -32,13 +32,40 @@
     status: u16,
 }
 
+/// Labels of a time.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct OfRank {
+    rank: u8,
+}
+
+/// Times of one answer.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Times {
+    /// From the arrival of the request to the first event, in ms.
+    pub(super) first_ms: Option<u64>,
+    /// Longest pause between two events, in ms.
+    pub(super) longest_gap_ms: u64,
+    /// From the arrival of the request to the end of the answer, in ms.
+    pub(super) whole_ms: u64,
+}
+
+/// A histogram of times for each rank.
+type ByRank = Family<OfRank, Histogram, fn() -> Histogram>;
+
+fn by_rank() -> ByRank {
+    Family::new_with_constructor(|| Histogram::new(BOUNDS_S))
+}
+
 /// All metrics of an instance.
 #[derive(Debug)]
 pub(super) struct Metrics {
     registry: Registry,
     refusals: Family<OfRefusal, Counter>,
     answers: Family<OfStatus, Counter>,
-    whole: Histogram,
+    first: ByRank,
+    gap: ByRank,
+    whole: ByRank,
+    pub(super) lines_dropped: Counter,
     pub(super) broken: Counter,
     pub(super) connections: Counter,
     pub(super) source_errors: Counter,
@@ -55,7 +82,10 @@
             registry: Registry::with_prefix("vanillakeel"),
             refusals: Family::default(),
             answers: Family::default(),
-            whole: Histogram::new(ANSWER_BOUNDS_S),
+            first: by_rank(),
+            gap: by_rank(),
+            whole: by_rank(),
+            lines_dropped: Counter::default(),
             broken: Counter::default(),
             connections: Counter::default(),
             source_errors: Counter::default(),
@@ -79,11 +109,26 @@
             self.refusals.clone(),
         );
         r.register("answers", "Answers of upstreams", self.answers.clone());
+        r.register(
+            "first_event_seconds",
+            "Time to the first event of an answer, by rank",
+            self.first.clone(),
+        );
+        r.register(
+            "longest_gap_seconds",
+            "Longest pause between two events of an answer, by rank",
+            self.gap.clone(),
+        );
         r.register(
             "answer_seconds",
-            "Time to the end of an answer",
+            "Time to the end of an answer, by rank",
             self.whole.clone(),
         );
+        r.register(
+            "lines_dropped",
+            "Lines of the log that were counted instead of written",
+            self.lines_dropped.clone(),
+        );
         r.register(
             "broken_answers",
             "Answers that an upstream broke off",
@@ -127,10 +172,19 @@
             .inc();
     }
 
-    pub(super) fn on_answer(&self, status: StatusCode, ms: u64) {
+    /// Counts an answer of an upstream to a request of `rank`.
+    pub(super) fn on_answer(&self, rank: u8, status: StatusCode, times: &Times) {
         let status = status.as_u16();
         self.answers.get_or_create(&OfStatus { status }).inc();
-        self.whole.observe(ms as f64 / 1_000.0);
+        let of = OfRank { rank };
+        let observe = |family: &ByRank, ms: u64| {
+            family.get_or_create(&of).observe(ms as f64 / 1_000.0);
+        };
+        if let Some(ms) = times.first_ms {
+            observe(&self.first, ms);
+        }
+        observe(&self.gap, times.longest_gap_ms);
+        observe(&self.whole, times.whole_ms);
     }
 
     /// The whole page.
--- /dev/null
+++ b/crates/vanillakeel-entry/src/gateway/progress.rs
@@ -0,0 +1,33 @@
+//! When the parts of an answer came.
+
+use vanillakeel::Millis;
+
+/// What is known of an answer while it comes in.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Progress {
+    first: Option<Millis>,
+    last: Option<Millis>,
+    longest_gap_ms: u64,
+    /// Bytes that were handed on.
+    pub(super) bytes: u64,
+}
+
+impl Progress {
+    /// Takes note of a part that has come in.
+    pub(super) fn on_part(&mut self, now: Millis) {
+        self.first.get_or_insert(now);
+        let gap_ms = self.last.map_or(0, |last| now.since(last));
+        self.longest_gap_ms = self.longest_gap_ms.max(gap_ms);
+        self.last = Some(now);
+    }
+
+    /// Time from `arrived` to the first part, in ms.
+    pub(super) fn first_ms(&self, arrived: Millis) -> Option<u64> {
+        self.first.map(|first| first.since(arrived))
+    }
+
+    /// Longest time between two parts, in ms.
+    pub(super) const fn longest_gap_ms(&self) -> u64 {
+        self.longest_gap_ms
+    }
+}
--- a/crates/vanillakeel-entry/src/gateway/relay.rs
+++ b/crates/vanillakeel-entry/src/gateway/relay.rs
@@ -13,6 +13,7 @@
         Tries, //
     },
     lines,
+    progress::Progress,
     request::Order,
     shared::Shared, //
 };
@@ -76,7 +77,7 @@
     deadline: Pin<Box<Sleep>>,
     events: Option<Events>,
     start: Option<Bytes>,
-    bytes: u64,
+    progress: Progress,
     /// Values that are dropped with the answer.
     held: Option<Box<dyn Any>>,
 }
@@ -99,7 +100,7 @@
             deadline: Box::pin(sleep(wait)),
             events: is_resumable.then(Events::default),
             start: None,
-            bytes: 0,
+            progress: Progress::default(),
             held: None,
         }
     }
@@ -138,7 +139,7 @@
             match next {
                 Step::Frame(Some(Ok(frame))) => {
                     if let Some(bytes) = self.on_frame(frame) {
-                        self.bytes += bytes.len() as u64;
+                        self.progress.bytes += bytes.len() as u64;
                         return Poll::Ready(Some(Ok(Frame::data(bytes))));
                     }
                 }
@@ -159,6 +160,7 @@
     /// Takes a frame; returns what can be handed on.
     fn on_frame(&mut self, frame: Frame<Bytes>) -> Option<Bytes> {
         let data = frame.into_data().ok()?;
+        self.progress.on_part(self.shared.clock.now());
         if let Flow::Running(running) = &mut self.flow {
             running.0.on_first();
         }
@@ -183,7 +185,7 @@
                 &self.order,
                 &upstream,
                 StatusCode::OK,
-                self.bytes,
+                &self.progress,
             );
         }
     }
@@ -206,7 +208,8 @@
         tracing::info!(
             request = %self.order.id,
             upstream = %upstream,
-            bytes = self.bytes,
+            bytes = self.progress.bytes,
+            first_ms = self.progress.first_ms(self.order.arrived),
             after_ms = self.shared.clock.now().since(self.order.arrived),
             reason,
             "answer cut"
--- a/crates/vanillakeel-entry/src/gateway/shared.rs
+++ b/crates/vanillakeel-entry/src/gateway/shared.rs
@@ -150,7 +150,11 @@
 
     /// Whether a log line that comes with a request may be written.
     pub(super) fn may_log(&self, kind: Kind) -> bool {
-        self.lines.may_write(self.clock.now(), kind)
+        let may = self.lines.may_write(self.clock.now(), kind);
+        if !may {
+            self.metrics.lines_dropped.inc();
+        }
+        may
     }
 
     /// Instances that share limits with this one, itself among them.
