--- a/crates/vanillakeel/src/fleet/admit.rs
+++ b/crates/vanillakeel/src/fleet/admit.rs
@@ -1,10 +1,10 @@
 //! Whether a request is sent now or refused, and when its caller may come back.
 //!
-//! An engine reads the prompts that it has admitted in the order of their arrival, so a queue of
-//! prompts there delays more urgent requests too, whatever their rank. The queue that a request may
-//! join is therefore bounded by its own target and by the tightest target of requests with long
-//! prompts that go before it. A refusal comes at once, as not run, with the time after which the
-//! queue will have gone.
+//! An engine takes more urgent requests first, so a request waits for the prompts of those that are
+//! as urgent. What it has begun to read still delays all that come later, so the queue that a request
+//! may join is bounded by its own target and by the tightest target of requests with long prompts
+//! that go before it. A refusal comes at once, as not run, with the time after which the queue will
+//! have gone.
 
 use super::{
     choose::{
--- a/crates/vanillakeel/src/fleet/choose.rs
+++ b/crates/vanillakeel/src/fleet/choose.rs
@@ -97,6 +97,8 @@
     upstream: &'a Upstream,
     /// Expected wait until the prompt is read, in ms.
     wait_ms: f64,
+    /// Tokens of other prompts that are read first.
+    tokens_ahead: u64,
     /// Tokens that have to be read.
     to_read: u32,
     cost: f64,
@@ -110,7 +112,7 @@
             incarnation: listed.incarnation,
             address: listed.address,
             tokens_to_read: self.to_read,
-            tokens_ahead: self.upstream.tokens_up_to(RANKS - 1),
+            tokens_ahead: self.tokens_ahead,
             wait_ms: self.wait_ms as u64,
         }
     }
@@ -238,6 +240,7 @@
         Candidate {
             upstream,
             wait_ms,
+            tokens_ahead: upstream.tokens_up_to(ask.rank()),
             to_read,
             cost: wait_ms
                 + again * self.read_ms_per_token() * cfg.reread_weight
@@ -257,14 +260,14 @@
         ask.prompt_tokens.saturating_sub(cached)
     }
 
-    /// Expected wait at an upstream until a new prompt is read, in ms: all prompts that are there
-    /// are read first, and a slot has to be free of requests as urgent.
+    /// Expected wait at an upstream until a new prompt is read, in ms: prompts that are as
+    /// urgent are read first, and a slot has to be free of requests as urgent.
     fn wait_ms(&self, ask: &Ask<'_>, upstream: &Upstream) -> f64 {
         let cfg = self.settings();
         let calls = f64::from(upstream.calls_up_to(ask.rank()));
         let slots = f64::from(upstream.listed.slots.max(1));
         let queued = (calls + 1.0 - slots).max(0.0);
-        upstream.tokens_up_to(RANKS - 1) as f64 * self.read_ms_per_token()
+        upstream.tokens_up_to(ask.rank()) as f64 * self.read_ms_per_token()
             + calls * cfg.call_ms / slots
             + queued * upstream.call_ms / slots
     }
--- a/crates/vanillakeel/tests/refused_early.rs
+++ b/crates/vanillakeel/tests/refused_early.rs
@@ -68,6 +68,20 @@
     }
 }
 
+/// Pattern: reviews come while the only upstream still has a burst of drafts to read.
+#[test]
+fn reviews_after_drafts() {
+    let mut fleet = fleet(1);
+    let taken = (0..100)
+        .filter(|n| offer(&mut fleet, &ask(&parts(17_000, 100 + n), 2, 2_000)).is_ok())
+        .count();
+    assert!(taken >= 8, "{taken} drafts taken");
+    for n in 0..5 {
+        let review = parts(5_000, 1_000 + n);
+        assert_eq!(offer(&mut fleet, &ask(&review, 1, 600)), Ok(()));
+    }
+}
+
 /// Without more urgent requests, a queue as long as the own target allows is used.
 #[test]
 fn drafts_alone() {
