--- a/crates/vanillakeel-entry/src/gateway/exchange.rs
+++ b/crates/vanillakeel-entry/src/gateway/exchange.rs
@@ -262,6 +262,7 @@
         proof_age_ms = in_force.age_ms(now),
         attempt = tries.runs,
         to_read = pick.tokens_to_read,
+        ahead = pick.tokens_ahead,
         wait_ms = pick.wait_ms,
         left_ms = order.left_ms(now),
         after_ms = now.since(order.arrived),
