feat(mesh): hubs are the instances with the widest links

The hub answered 20 members ten times a second over a link of 10 Mbit/s that its callers used too. Ruled out: heartbeats or broken entries in the log (reads of members stop as soon as they are covered), the start (900 calls of 2500). Now: an instance tells the bandwidth of its link, from its settings, in its entry and its messages; the widest link is hub, ties as before.

--- a/crates/vanillakeel-entry/src/gateway/peers.rs
+++ b/crates/vanillakeel-entry/src/gateway/peers.rs
@@ -88,7 +88,10 @@
     };
     let entry = Entry {
         key: me.name.to_string(),
-        value: Some(Bytes::from(format!("{address} {}", me.data_centre))),
+        value: Some(Bytes::from(format!(
+            "{address} {} {}",
+            me.data_centre, me.link_mbps
+        ))),
     };
     while let Err(e) = (source.write)(Topic::Peers, entry.clone()).await {
         tracing::warn!(error = %e, "where this instance is reached could not be written");
@@ -139,11 +142,12 @@
 
 fn read_peer(entry: &Entry) -> Option<Peer> {
     let text = std::str::from_utf8(entry.value.as_deref()?).ok()?;
-    let (address, data_centre) = text.split_once(' ')?;
+    let mut words = text.split(' ');
     Some(Peer {
         name: Arc::from(&*entry.key),
-        data_centre: Arc::from(data_centre),
-        address: address.parse().ok()?,
+        address: words.next()?.parse().ok()?,
+        data_centre: Arc::from(words.next()?),
+        link_mbps: words.next().map_or(Ok(0), str::parse).ok()?,
     })
 }
 
@@ -215,6 +219,7 @@
         MeshMessage {
             from: mesh.me().name.to_string(),
             data_centre: mesh.me().data_centre.to_string(),
+            link_mbps: mesh.me().link_mbps,
             kind: Some(kind),
         }
     };
@@ -249,6 +254,7 @@
         name: Arc::from(&*message.from),
         data_centre: Arc::from(&*message.data_centre),
         address: from,
+        link_mbps: message.link_mbps,
     };
     let name = &peer.name;
     if matches!(message.kind, Some(Kind::Leaving(_))) {
--- a/crates/vanillakeel-entry/src/gateway/settings.rs
+++ b/crates/vanillakeel-entry/src/gateway/settings.rs
@@ -44,6 +44,9 @@
     pub listen: Listen,
     /// The log service.
     pub store: Store,
+    /// The machine that it runs on.
+    #[serde(default)]
+    pub machine: Machine,
     /// Times.
     #[serde(default)]
     pub timing: Timing,
@@ -71,6 +74,14 @@
     pub peers: Option<SocketAddr>,
 }
 
+/// The machine that an instance runs on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Machine {
+    /// Bandwidth of its link in Mbit/s, zero if unknown; hubs are where it is widest.
+    pub link_mbps: f64,
+}
+
 /// The log service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -211,6 +222,9 @@
         if self.listen.callers == self.listen.operators && self.listen.callers.port() != 0 {
             return fail("listen.operators", "is the same as listen.callers");
         }
+        if !self.machine.link_mbps.is_finite() || self.machine.link_mbps < 0.0 {
+            return fail("machine.link_mbps", "has to be 0 or more");
+        }
         let timing = &self.timing;
         if timing.connect_ms == 0 {
             return fail("timing.connect_ms", "has to be 1 or more");
--- a/crates/vanillakeel-entry/src/gateway/shared.rs
+++ b/crates/vanillakeel-entry/src/gateway/shared.rs
@@ -108,6 +108,7 @@
         let me = Peer {
             name: Arc::from(&*settings.instance.name),
             data_centre: Arc::from(&*settings.instance.data_centre),
+            link_mbps: settings.machine.link_mbps as u32,
             ..Peer::default()
         };
         let seed = order::hash(&settings.instance.name);
--- a/crates/vanillakeel-wire/src/generated.rs
+++ b/crates/vanillakeel-wire/src/generated.rs
@@ -190,6 +190,9 @@
     pub from: ::prost::alloc::string::String,
     #[prost(string, tag = "2")]
     pub data_centre: ::prost::alloc::string::String,
+    /// Bandwidth of the sender's link in Mbit/s, zero if unknown.
+    #[prost(uint32, tag = "7")]
+    pub link_mbps: u32,
     #[prost(oneof = "mesh_message::Kind", tags = "3, 4, 5, 6")]
     pub kind: ::core::option::Option<mesh_message::Kind>,
 }
--- a/crates/vanillakeel/src/mesh/state.rs
+++ b/crates/vanillakeel/src/mesh/state.rs
@@ -22,6 +22,17 @@
     pub data_centre: Arc<str>,
     /// Where it takes datagrams.
     pub address: SocketAddr,
+    /// Bandwidth of its link in Mbit/s, zero if unknown.
+    pub link_mbps: u32,
+}
+
+impl Peer {
+    /// Its place among the instances that may be hub of a data centre; the highest is.
+    ///
+    /// A hub answers all others many times a second, so wide links go first.
+    fn hub_rank(&self) -> (u32, u64) {
+        (self.link_mbps, order::weight(&self.data_centre, &self.name))
+    }
 }
 
 impl Default for Peer {
@@ -30,6 +41,7 @@
             name: Arc::from(""),
             data_centre: Arc::from(""),
             address: SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0)),
+            link_mbps: 0,
         }
     }
 }
@@ -175,14 +187,13 @@
 
     /// The peer that is hub of a data centre, or nothing if this instance is or none is known.
     fn hub_of(&self, now: Millis, data_centre: &str) -> Option<&Peer> {
-        let weight = |name: &str| order::weight(data_centre, name);
         let best = self
             .peers
             .iter()
             .filter(|k| *k.peer.data_centre == *data_centre && now >= k.passed_over_until)
-            .max_by_key(|k| weight(&k.peer.name))?;
+            .max_by_key(|k| k.peer.hub_rank())?;
         let is_own = *self.me.data_centre == *data_centre;
-        let is_me = is_own && weight(&self.me.name) > weight(&best.peer.name);
+        let is_me = is_own && self.me.hub_rank() > best.peer.hub_rank();
         (!is_me).then_some(&best.peer)
     }
 
--- a/crates/vanillakeel/tests/mesh_hubs.rs
+++ b/crates/vanillakeel/tests/mesh_hubs.rs
@@ -155,3 +155,23 @@
     assert_eq!(factor(&mut mesh, 14_999), 8);
     assert_eq!(factor(&mut mesh, 15_000), 1);
 }
+
+/// Pattern: a burst on machines of which a few have wide links; hubs answer all others.
+#[test]
+fn wide_link_first() {
+    let wide = |name: &str| Peer {
+        link_mbps: 200,
+        ..peer(name, "1")
+    };
+    for name in ["a1", "b1", "c1", "d1"] {
+        let mut mesh = mesh(if name == "a1" { "b1" } else { "a1" });
+        mesh.on_peer(&wide(name));
+        assert_eq!(hub_name(&mesh, NOW), name);
+    }
+    let mut mesh = Mesh::new(wide("a1"), Settings::default());
+    for name in ["b1", "c1", "d1"] {
+        mesh.on_peer(&peer(name, "1"));
+    }
+    assert_eq!(hub_name(&mesh, NOW), "a1");
+    assert!(mesh.is_hub(NOW));
+}
