--- a/crates/vanillakeel-entry/src/gateway/peers.rs
+++ b/crates/vanillakeel-entry/src/gateway/peers.rs
@@ -104,8 +104,8 @@
                 let peers = page.entries.iter().filter_map(read_peer);
                 for peer in peers {
                     shared.mesh.borrow_mut().on_peer(&peer);
-                    // The others learn of this instance from its first message.
-                    send(shared, socket, &peer, report(shared)).await;
+                    // A report here would make each peer take itself for a hub.
+                    send(shared, socket, &peer, None).await;
                 }
                 after = page.more_after;
                 if after.is_none() {
@@ -213,14 +213,15 @@
     })
 }
 
-async fn send(shared: &Shared, socket: &UdpSocket, peer: &Peer, kind: Kind) {
+/// Sends a message; one without a kind only makes this instance known.
+async fn send(shared: &Shared, socket: &UdpSocket, peer: &Peer, kind: impl Into<Option<Kind>>) {
     let message = {
         let mesh = shared.mesh.borrow();
         MeshMessage {
             from: mesh.me().name.to_string(),
             data_centre: mesh.me().data_centre.to_string(),
             link_mbps: mesh.me().link_mbps,
-            kind: Some(kind),
+            kind: kind.into(),
         }
     };
     let sent = socket.send_to(&message.encode_to_vec(), peer.address).await;
