--- a/crates/vanillakeel-entry/src/gateway/peers.rs
+++ b/crates/vanillakeel-entry/src/gateway/peers.rs
@@ -90,7 +90,7 @@
         key: me.name.to_string(),
         value: Some(Bytes::from(format!(
             "{address} {} {}",
-            me.data_centre, me.link_mbps
+            me.link_mbps, me.data_centre
         ))),
     };
     while let Err(e) = (source.write)(Topic::Peers, entry.clone()).await {
@@ -142,12 +142,12 @@
 
 fn read_peer(entry: &Entry) -> Option<Peer> {
     let text = std::str::from_utf8(entry.value.as_deref()?).ok()?;
-    let mut words = text.split(' ');
+    let mut words = text.splitn(3, ' ');
     Some(Peer {
         name: Arc::from(&*entry.key),
         address: words.next()?.parse().ok()?,
+        link_mbps: words.next()?.parse().ok()?,
         data_centre: Arc::from(words.next()?),
-        link_mbps: words.next().map_or(Ok(0), str::parse).ok()?,
     })
 }
 
@@ -323,7 +323,6 @@
 fn on_summary(shared: &Shared, now: Millis, hub: &str, summary: &MeshSummary) {
     let sent = Millis::new(summary.sent);
     let heard = Summary {
-        sent,
         is_fresh: summary.fresh,
         instances: summary.instances,
     };
--- a/crates/vanillakeel-entry/src/gateway/settings.rs
+++ b/crates/vanillakeel-entry/src/gateway/settings.rs
@@ -25,6 +25,8 @@
     Error,
     Instance,
     Log,
+    check_listen,
+    fail,
     read_file,
     syntax, //
 };
@@ -210,18 +212,8 @@
     }
 
     fn check(&self) -> Result<(), Error> {
-        let fail = |key, reason: &str| {
-            Err(Error::Key {
-                key,
-                reason: reason.to_owned(),
-            })
-        };
-        if self.instance.name.is_empty() {
-            return fail("instance.name", "is empty");
-        }
-        if self.listen.callers == self.listen.operators && self.listen.callers.port() != 0 {
-            return fail("listen.operators", "is the same as listen.callers");
-        }
+        self.instance.check()?;
+        check_listen(self.listen.callers, self.listen.operators)?;
         if !self.machine.link_mbps.is_finite() || self.machine.link_mbps < 0.0 {
             return fail("machine.link_mbps", "has to be 0 or more");
         }
--- a/crates/vanillakeel-entry/src/lib.rs
+++ b/crates/vanillakeel-entry/src/lib.rs
@@ -26,6 +26,7 @@
 mod platform;
 pub mod settings;
 mod spawn;
+pub mod start;
 mod time;
 mod trace;
 mod upstream;
--- a/crates/vanillakeel-entry/src/main.rs
+++ b/crates/vanillakeel-entry/src/main.rs
@@ -1,11 +1,6 @@
 //! The daemon as a process.
 
-use clap::{
-    Arg,
-    ArgAction,
-    Command,
-    value_parser, //
-};
+use clap::Command;
 use signal_hook::{
     consts::{
         SIGINT,
@@ -14,6 +9,7 @@
     iterator::Signals,
 };
 use std::{
+    fmt::Display,
     path::PathBuf,
     process::ExitCode,
     sync::Arc,
@@ -23,7 +19,8 @@
 use vanillakeel_entry::{
     Instance,
     Settings,
-    logs, //
+    logs,
+    start, //
 };
 
 /// Time between two looks at whether a stop is over.
@@ -32,45 +29,27 @@
 /// Time for the last answers to leave after a stop.
 const LINGER: Duration = Duration::from_millis(100);
 
-/// Exit code for bad settings.
-const BAD_SETTINGS: u8 = 2;
+/// Name of the program.
+const NAME: &str = "vanillakeel-entry";
 
 fn command() -> Command {
-    Command::new("vanillakeel-entry")
+    start::command(NAME, "TOML file with the settings of this instance")
         .about("Router for language-model traffic with service levels and priorities")
-        .version(env!("CARGO_PKG_VERSION"))
-        .arg(
-            Arg::new("settings")
-                .long("settings")
-                .value_name("FILE")
-                .required(true)
-                .value_parser(value_parser!(PathBuf))
-                .help("TOML file with the settings of this instance"),
-        )
-        .arg(
-            Arg::new("check")
-                .long("check")
-                .action(ArgAction::SetTrue)
-                .help("Check the settings and end"),
-        )
+        .mut_arg(start::SETTINGS, |arg| arg.required(true))
 }
 
 fn main() -> ExitCode {
     let matches = command().get_matches();
-    let Some(path) = matches.get_one::<PathBuf>("settings") else {
-        return ExitCode::from(BAD_SETTINGS);
-    };
-    let fail = |reason: &dyn std::fmt::Display| {
-        eprintln!("vanillakeel-entry: {}: {reason}", path.display());
-        ExitCode::from(BAD_SETTINGS)
+    let Some(path) = matches.get_one::<PathBuf>(start::SETTINGS) else {
+        return ExitCode::from(start::BAD_SETTINGS);
     };
+    let fail = |reason: &dyn Display| start::refused(NAME, path, reason);
     let settings = match Settings::read(path) {
         Ok(settings) => settings,
         Err(e) => return fail(&e),
     };
-    if matches.get_flag("check") {
-        println!("{}: good", path.display());
-        return ExitCode::SUCCESS;
+    if matches.get_flag(start::CHECK) {
+        return start::checked(path);
     }
     if let Err(e) = logs::init(&settings.log) {
         return fail(&e);
--- a/crates/vanillakeel-entry/src/settings.rs
+++ b/crates/vanillakeel-entry/src/settings.rs
@@ -73,6 +73,15 @@
     pub data_centre: String,
 }
 
+impl Instance {
+    pub(crate) fn check(&self) -> Result<(), Error> {
+        if self.name.is_empty() {
+            return fail("instance.name", "is empty");
+        }
+        Ok(())
+    }
+}
+
 /// Where the instance listens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -251,6 +260,22 @@
 
 impl std::error::Error for Error {}
 
+/// Refuses settings for the value of one key.
+pub(crate) fn fail(key: &'static str, reason: &str) -> Result<(), Error> {
+    Err(Error::Key {
+        key,
+        reason: reason.to_owned(),
+    })
+}
+
+/// Checks where an instance listens.
+pub(crate) fn check_listen(callers: SocketAddr, operators: SocketAddr) -> Result<(), Error> {
+    if callers == operators && callers.port() != 0 {
+        return fail("listen.operators", "is the same as listen.callers");
+    }
+    Ok(())
+}
+
 impl Settings {
     /// Reads and checks a file.
     ///
@@ -273,18 +298,8 @@
     }
 
     fn check(&self) -> Result<(), Error> {
-        let fail = |key, reason: &str| {
-            Err(Error::Key {
-                key,
-                reason: reason.to_owned(),
-            })
-        };
-        if self.instance.name.is_empty() {
-            return fail("instance.name", "is empty");
-        }
-        if self.listen.callers == self.listen.operators && self.listen.callers.port() != 0 {
-            return fail("listen.operators", "is the same as listen.callers");
-        }
+        self.instance.check()?;
+        check_listen(self.listen.callers, self.listen.operators)?;
         if self.limits.concurrent_calls == 0 || self.limits.concurrent_reads == 0 {
             return fail("limits.concurrent_calls", "has to be 1 or more");
         }
--- a/crates/vanillakeel-entry/tests/gateway_settings.rs
+++ b/crates/vanillakeel-entry/tests/gateway_settings.rs
@@ -33,6 +33,11 @@
     "timing.revoked_ms: has to be"
 )]
 #[case::negative_ratio("ratio = 0.2", "ratio = -0.2", "retries.ratio: has to be 0 or more")]
+#[case::negative_link(
+    "link_mbps = 1000.0",
+    "link_mbps = -1.0",
+    "machine.link_mbps: has to be 0 or more"
+)]
 #[case::no_window("window_ms = 10000", "window_ms = 0", "retries.window_ms: has to be 1")]
 fn fault_named(#[case] good: &str, #[case] bad: &str, #[case] reason: &str) {
     let error = Settings::parse(&EXAMPLE.replace(good, bad)).expect_err("a fault");
--- a/crates/vanillakeel/src/mesh/state.rs
+++ b/crates/vanillakeel/src/mesh/state.rs
@@ -76,8 +76,6 @@
 /// What a hub's answer says, beside the load.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Summary {
-    /// When the report that it answers was sent.
-    pub sent: Millis,
     /// Whether the hub reads the log itself.
     pub is_fresh: bool,
     /// Live instances.
--- a/crates/vanillakeel/tests/mesh_hubs.rs
+++ b/crates/vanillakeel/tests/mesh_hubs.rs
@@ -123,7 +123,6 @@
     assert!(!mesh.is_covered(NOW));
     let hub = hub_name(&mesh, NOW);
     let summary = Summary {
-        sent: NOW,
         is_fresh: true,
         instances: 8,
     };
