fix(routes): a rank keeps the operator's number where there is room

Ruled out: a change of the golden file, since the number that an operator gives should be seen at the upstream. Now: a tier begins at its own priority unless tiers before it take that rank or those after it need the room.

--- a/crates/vanillakeel/src/routes/ranks.rs
+++ b/crates/vanillakeel/src/routes/ranks.rs
@@ -7,8 +7,9 @@
 ///
 /// The priority of a workspace goes before the one of a route. Requests of workspaces with the same
 /// priority keep the order of their routes, so that a short question doesn't make way for a long
-/// draft only because both belong to workspaces of one tier. Where there are more combinations than
-/// ranks, the least urgent routes of a tier share one.
+/// draft only because both belong to workspaces of one tier. The most urgent route of a tier has the
+/// tier's priority as its rank while there is room; where there are more combinations than ranks, the
+/// least urgent routes of a tier share one.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(super) struct Ranks {
     /// Sorted by priority.
@@ -56,11 +57,15 @@
                 .sum::<usize>()
         };
         let most = (1..=RANKS).rev().find(|most| taken(*most) <= RANKS);
-        let mut first = 0;
+        let most = most.unwrap_or(1);
+        let mut left = taken(most);
+        let mut end = 0;
         for tier in &mut tiers {
-            tier.first = first;
-            tier.len = tier.routes.len().min(most.unwrap_or(1));
-            first += tier.len;
+            let room = RANKS.saturating_sub(left);
+            tier.first = usize::from(tier.priority).min(room).max(end);
+            tier.len = tier.routes.len().min(most);
+            end = tier.first + tier.len;
+            left -= tier.len;
         }
         Self { tiers }
     }
--- a/crates/vanillakeel/tests/ranked_requests.rs
+++ b/crates/vanillakeel/tests/ranked_requests.rs
@@ -78,6 +78,29 @@
     assert_eq!(ranks, [0, 1, 2]);
 }
 
+/// Where there is room, a rank is the number that the operator has given.
+#[test]
+fn given_number() {
+    let table = Table::new(Parts {
+        version: 1,
+        routes: vec![routes().remove(1)],
+        clients: [Some(3), Some(7)].into_iter().map(client).collect(),
+        ..Parts::default()
+    });
+    let ranks = [Some(3), Some(7)].map(|tier| rank(&table, tier, 1));
+    assert_eq!(ranks, [3, 7]);
+}
+
+/// More tiers than ranks: the order holds, the last ones share a rank.
+#[test]
+fn many_tiers() {
+    let all: Vec<_> = (0..30).map(|n| Some(n * 8)).collect();
+    let table = table(&all);
+    let ranks: Vec<_> = all.iter().map(|p| rank(&table, *p, 2)).collect();
+    assert!(ranks.is_sorted(), "{ranks:?}");
+    assert_eq!((ranks[0], ranks[29]), (0, 9));
+}
+
 #[test]
 fn shared_rank() {
     let all: Vec<_> = (0..10).map(Some).collect();
