perf(mesh): loads are told with the differences of sorted hashes

Cause: with a rank for each pair of tier and route, an answer of a hub at 920 upstreams and ten ranks had 74 KB, more than a datagram carries; the read buffer held 32 KB. Ruled out: several datagrams for an answer (a lost one would leave half a view); fewer ranks. Now: ascending hashes as differences, one byte where several ranks share an upstream; the buffer holds the largest datagram. The conversions stand in a file of their own, with tests for the size at 920 upstreams and for broken lists.

--- a/crates/vanillakeel-entry/src/gateway.rs
+++ b/crates/vanillakeel-entry/src/gateway.rs
@@ -38,6 +38,7 @@
 mod sockets;
 mod source;
 mod stop;
+mod told;
 mod watch;
 
 pub use self::{
--- a/crates/vanillakeel-entry/src/gateway/peers.rs
+++ b/crates/vanillakeel-entry/src/gateway/peers.rs
@@ -5,15 +5,18 @@
 //! [`vanillakeel::mesh`]. A datagram that is lost, late or not understood changes nothing for good.
 
 use super::{
-    shared::{
-        Change,
-        Shared, //
-    },
+    shared::Shared,
     source::{
         Entry,
         Source,
         Topic, //
     },
+    told::{
+        change_from_wire,
+        change_to_wire,
+        loads_from_wire,
+        loads_to_wire, //
+    },
 };
 use bytes::Bytes;
 use std::{
@@ -29,10 +32,7 @@
 };
 use vanillakeel::{
     Millis,
-    fleet::Listed,
-    membership::State,
     mesh::{
-        Load,
         Loads,
         Peer,
         Summary, //
@@ -42,21 +42,16 @@
     Message as _,
     generated::{
         MeshExchange,
-        MeshLoads,
         MeshMessage,
         MeshReads,
         MeshReport,
         MeshSummary,
-        MeshUpstream,
         mesh_message::Kind, //
     },
 };
 
-/// Largest datagram that is read, in bytes.
-const MAX_DATAGRAM_BYTES: usize = 32 << 10;
-
-/// Tokens in a unit of the wire.
-const TOKENS_PER_UNIT: u64 = 64;
+/// Largest datagram that is read, in bytes; UDP carries hardly more.
+const MAX_DATAGRAM_BYTES: usize = 64 << 10;
 
 /// Pause after the log could not be written or read, in ms.
 const RETRY_MS: u64 = 1_000;
@@ -192,7 +187,7 @@
     for peer in peers {
         shared.mesh.borrow_mut().on_asked(now, &peer.name);
         let message = MeshExchange {
-            loads: Some(to_wire(&loads)),
+            loads: Some(loads_to_wire(&loads)),
             instances,
             reads: Some(reads_to_wire(shared, now)),
         };
@@ -208,7 +203,7 @@
     let now = shared.clock.now();
     Kind::Report(MeshReport {
         sent: now.get(),
-        loads: Some(to_wire(&shared.fleet.borrow().loads())),
+        loads: Some(loads_to_wire(&shared.fleet.borrow().loads())),
         reads: Some(reads_to_wire(shared, now)),
     })
 }
@@ -266,7 +261,7 @@
     match message.kind {
         Some(Kind::Report(report)) => {
             take_reads(shared, now, report.reads.as_ref());
-            let loads = from_wire(report.loads.as_ref());
+            let loads = loads_from_wire(report.loads.as_ref());
             let is_mate = {
                 let mut mesh = shared.mesh.borrow_mut();
                 let is_mate = mesh.me().data_centre == peer.data_centre;
@@ -282,7 +277,7 @@
         }
         Some(Kind::Exchange(exchange)) => {
             take_reads(shared, now, exchange.reads.as_ref());
-            let loads = from_wire(exchange.loads.as_ref());
+            let loads = loads_from_wire(exchange.loads.as_ref());
             let mut mesh = shared.mesh.borrow_mut();
             mesh.on_exchange(now, name, &message.data_centre, loads, exchange.instances);
         }
@@ -313,7 +308,7 @@
         version: in_force.table().map_or(0, |t| t.version()),
         proof_age: proof_age.unwrap_or(u64::MAX),
         digest: shared.fleet.borrow().digest(),
-        loads: Some(to_wire(&loads)),
+        loads: Some(loads_to_wire(&loads)),
         changes: changes.iter().map(|(_, c)| change_to_wire(c)).collect(),
         instances,
         reads: Some(reads_to_wire(shared, now)),
@@ -328,7 +323,7 @@
     };
     shared.mesh.borrow_mut().on_summary(now, hub, heard);
     take_reads(shared, now, summary.reads.as_ref());
-    let loads = from_wire(summary.loads.as_ref());
+    let loads = loads_from_wire(summary.loads.as_ref());
     shared.fleet.borrow_mut().set_remote(&loads);
     if !summary.fresh {
         return;
@@ -383,71 +378,3 @@
         fleet.on_read(now, *part, *upstream);
     }
 }
-
-fn to_wire(loads: &Loads) -> MeshLoads {
-    let mut wire = MeshLoads {
-        light_calls: loads.light_calls,
-        ..MeshLoads::default()
-    };
-    for load in loads.iter() {
-        wire.upstreams.push(load.upstream);
-        wire.ranks.push(u32::from(load.rank));
-        wire.calls.push(load.calls);
-        let units = load.tokens.div_ceil(TOKENS_PER_UNIT);
-        wire.tokens.push(u32::try_from(units).unwrap_or(u32::MAX));
-    }
-    wire
-}
-
-fn from_wire(wire: Option<&MeshLoads>) -> Loads {
-    let mut loads = Loads::default();
-    let Some(wire) = wire else {
-        return loads;
-    };
-    loads.light_calls = wire.light_calls;
-    let counts = wire.calls.iter().zip(&wire.tokens);
-    let keys = wire.upstreams.iter().zip(&wire.ranks);
-    for ((upstream, rank), (calls, units)) in keys.zip(counts) {
-        loads.add(Load {
-            upstream: *upstream,
-            rank: u8::try_from(*rank).unwrap_or(u8::MAX),
-            calls: *calls,
-            tokens: u64::from(*units) * TOKENS_PER_UNIT,
-        });
-    }
-    loads
-}
-
-fn change_to_wire(change: &Change) -> MeshUpstream {
-    let listed = &change.listed;
-    MeshUpstream {
-        name: listed.name.to_string(),
-        incarnation: listed.incarnation,
-        service: listed.service.to_string(),
-        address: listed.address.to_string(),
-        data_centre: listed.data_centre.to_string(),
-        slots: listed.slots,
-        leaving: listed.state == State::Leaving,
-        gone: change.is_gone,
-    }
-}
-
-fn change_from_wire(wire: &MeshUpstream) -> Option<Change> {
-    let state = if wire.leaving {
-        State::Leaving
-    } else {
-        State::Live
-    };
-    Some(Change {
-        listed: Listed {
-            name: Arc::from(&*wire.name),
-            incarnation: wire.incarnation,
-            service: Arc::from(&*wire.service),
-            address: wire.address.parse().ok()?,
-            data_centre: Arc::from(&*wire.data_centre),
-            slots: wire.slots,
-            state,
-        },
-        is_gone: wire.gone,
-    })
-}
--- /dev/null
+++ b/crates/vanillakeel-entry/tests/unit/told_loads.rs
@@ -0,0 +1,57 @@
+//! Loads on the wire: they come back as they were, and fit into a datagram.
+
+use super::{
+    TOKENS_PER_UNIT,
+    loads_from_wire,
+    loads_to_wire, //
+};
+use vanillakeel::{
+    mesh::{
+        Load,
+        Loads, //
+    },
+    order,
+};
+use vanillakeel_wire::Message as _;
+
+/// Payload of the largest datagram over IPv4, in bytes.
+const DATAGRAM_BYTES: usize = 65_507;
+
+/// Loads of several ranks at each of many upstreams.
+fn loads(upstreams: u32, ranks: u8) -> Loads {
+    let mut loads = Loads::with_light(70_000);
+    for at in 0..upstreams {
+        for rank in 0..ranks {
+            loads.add(Load {
+                upstream: order::hash(&format!("runner-{at}")) as u32,
+                rank,
+                calls: 1 + u32::from(rank),
+                tokens: u64::from(at) * TOKENS_PER_UNIT,
+            });
+        }
+    }
+    loads
+}
+
+#[test]
+fn same_again() {
+    let sent = loads(90, 6);
+    assert_eq!(loads_from_wire(Some(&loads_to_wire(&sent))), sent);
+    assert_eq!(loads_from_wire(None), Loads::default());
+}
+
+/// 920 upstreams with five tiers of workspaces on several routes.
+#[test]
+fn fits_datagram() {
+    let bytes = loads_to_wire(&loads(920, 10)).encoded_len();
+    assert!(bytes < DATAGRAM_BYTES * 9 / 10, "{bytes} bytes");
+}
+
+/// Lists of unequal length and sums beyond the range come from a broken peer; they do no harm.
+#[test]
+fn broken_lists() {
+    let mut wire = loads_to_wire(&loads(3, 1));
+    wire.steps = vec![u32::MAX, u32::MAX, 7];
+    wire.tokens.truncate(2);
+    assert_eq!(loads_from_wire(Some(&wire)).iter().count(), 2);
+}
--- a/crates/vanillakeel-wire/src/generated.rs
+++ b/crates/vanillakeel-wire/src/generated.rs
@@ -211,12 +211,13 @@
         Leaving(bool),
     }
 }
-/// Load that an instance or a data centre puts on upstreams; lists of equal length.
+/// Load that an instance or a data centre puts on upstreams; lists of equal length, in ascending
+/// order of the hashes of the upstreams' names.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct MeshLoads {
-    /// Hashes of the names.
-    #[prost(fixed32, repeated, tag = "1")]
-    pub upstreams: ::prost::alloc::vec::Vec<u32>,
+    /// Difference of each hash to the one before it.
+    #[prost(uint32, repeated, tag = "6")]
+    pub steps: ::prost::alloc::vec::Vec<u32>,
     #[prost(uint32, repeated, tag = "2")]
     pub calls: ::prost::alloc::vec::Vec<u32>,
     /// Tokens to be read, in units of 64.
