perf(fleet): shared tokens that are read again weigh five times their time

Cause: in bursts on cold pools subjects spilled to other upstreams for a queue of 0.8 s at home; each spill reads 13,300 tokens that delay all others there.

--- a/crates/vanillakeel/src/fleet/state.rs
+++ b/crates/vanillakeel/src/fleet/state.rs
@@ -80,7 +80,7 @@
             min_ranks: 2,
             bound_factor: 1.3,
             free_ms: 150.0,
-            reread_weight: 3.0,
+            reread_weight: 5.0,
             far_ms: 3.0,
             failures_to_eject: 3,
             max_ejected: 0.5,
--- a/crates/vanillakeel/tests/chosen_upstreams.rs
+++ b/crates/vanillakeel/tests/chosen_upstreams.rs
@@ -117,6 +117,33 @@
     assert!(most <= 25, "one upstream of 30 got {most} of 300");
 }
 
+/// Pattern: a burst of many subjects; a part that is read again at another upstream takes time from
+/// all that wait there, so a subject stays at its home while the queue there is bearable.
+#[test]
+fn home_in_burst() {
+    let parts = long_prompt(7, 70);
+    let mut fleet = fleet(9, 1);
+    let (home, _) = send(&mut fleet, NOW, &ask(&parts));
+    for n in 0..25 {
+        // 50,000 tokens of other subjects make callers wait for a second.
+        let other = [Part {
+            id: 1_000 + n,
+            tokens: 2_000,
+        }];
+        fleet.on_send(
+            NOW,
+            &home,
+            &Ask {
+                parts: &other,
+                ..ask(&other)
+            },
+        );
+    }
+    let pick = fleet.choose(NOW, &ask(&parts)).expect("an upstream");
+    assert!(pick.wait_ms >= 900, "{pick:?}");
+    assert_eq!(pick.name, home.name);
+}
+
 /// Pattern: long prompts beside many short requests whose tokens must not wait.
 #[test]
 fn light_prompts_apart() {
