refactor: one constant for ranks, no pause counted for answers of one part

Cause: read as a newcomer, two modules held the number of ranks, building them was one long function, and plain answers filled the histogram of pauses with zeros. Conclusion: tests for the times of an answer's parts.

--- a/crates/vanillakeel-entry/src/gateway/metrics.rs
+++ b/crates/vanillakeel-entry/src/gateway/metrics.rs
@@ -43,8 +43,8 @@
 pub(super) struct Times {
     /// From the arrival of the request to the first event, in ms.
     pub(super) first_ms: Option<u64>,
-    /// Longest pause between two events, in ms.
-    pub(super) longest_gap_ms: u64,
+    /// Longest pause between two events in ms, if there was more than one.
+    pub(super) longest_gap_ms: Option<u64>,
     /// From the arrival of the request to the end of the answer, in ms.
     pub(super) whole_ms: u64,
 }
@@ -177,14 +177,14 @@
         let status = status.as_u16();
         self.answers.get_or_create(&OfStatus { status }).inc();
         let of = OfRank { rank };
-        let observe = |family: &ByRank, ms: u64| {
-            family.get_or_create(&of).observe(ms as f64 / 1_000.0);
+        let observe = |family: &ByRank, ms: Option<u64>| {
+            if let Some(ms) = ms {
+                family.get_or_create(&of).observe(ms as f64 / 1_000.0);
+            }
         };
-        if let Some(ms) = times.first_ms {
-            observe(&self.first, ms);
-        }
+        observe(&self.first, times.first_ms);
         observe(&self.gap, times.longest_gap_ms);
-        observe(&self.whole, times.whole_ms);
+        observe(&self.whole, Some(times.whole_ms));
     }
 
     /// The whole page.
--- a/crates/vanillakeel-entry/src/gateway/progress.rs
+++ b/crates/vanillakeel-entry/src/gateway/progress.rs
@@ -7,7 +7,7 @@
 pub(super) struct Progress {
     first: Option<Millis>,
     last: Option<Millis>,
-    longest_gap_ms: u64,
+    longest_gap_ms: Option<u64>,
     /// Bytes that were handed on.
     pub(super) bytes: u64,
 }
@@ -16,7 +16,7 @@
     /// Takes note of a part that has come in.
     pub(super) fn on_part(&mut self, now: Millis) {
         self.first.get_or_insert(now);
-        let gap_ms = self.last.map_or(0, |last| now.since(last));
+        let gap_ms = self.last.map(|last| now.since(last));
         self.longest_gap_ms = self.longest_gap_ms.max(gap_ms);
         self.last = Some(now);
     }
@@ -26,8 +26,12 @@
         self.first.map(|first| first.since(arrived))
     }
 
-    /// Longest time between two parts, in ms.
-    pub(super) const fn longest_gap_ms(&self) -> u64 {
+    /// Longest time between two parts in ms, if there was more than one.
+    pub(super) const fn longest_gap_ms(&self) -> Option<u64> {
         self.longest_gap_ms
     }
 }
+
+#[cfg(test)]
+#[path = "../../tests/unit/answer_progress.rs"]
+mod answer_progress;
--- /dev/null
+++ b/crates/vanillakeel-entry/tests/unit/answer_progress.rs
@@ -0,0 +1,23 @@
+//! Times of an answer's parts.
+
+use super::Progress;
+use vanillakeel::Millis;
+
+#[test]
+fn one_part() {
+    let mut progress = Progress::default();
+    assert_eq!(progress.first_ms(Millis::new(100)), None);
+    progress.on_part(Millis::new(130));
+    assert_eq!(progress.first_ms(Millis::new(100)), Some(30));
+    assert_eq!(progress.longest_gap_ms(), None);
+}
+
+#[test]
+fn longest_gap() {
+    let mut progress = Progress::default();
+    for at in [130, 140, 190, 200] {
+        progress.on_part(Millis::new(at));
+    }
+    assert_eq!(progress.first_ms(Millis::new(100)), Some(30));
+    assert_eq!(progress.longest_gap_ms(), Some(50));
+}
--- a/crates/vanillakeel/src/fleet.rs
+++ b/crates/vanillakeel/src/fleet.rs
@@ -21,6 +21,7 @@
 mod state;
 mod upstream;
 
+pub(crate) use self::upstream::RANKS;
 pub use self::{
     choose::{
         Ask,
--- a/crates/vanillakeel/src/fleet/upstream.rs
+++ b/crates/vanillakeel/src/fleet/upstream.rs
@@ -62,8 +62,8 @@
     Neutral,
 }
 
-/// Ranks that are told apart; less urgent ones count as the last.
-pub(super) const RANKS: usize = 10;
+/// Ranks that upstreams tell apart, zero is the most urgent; less urgent ones count as the last.
+pub(crate) const RANKS: usize = 10;
 
 /// What is in flight at an upstream, by rank.
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/vanillakeel/src/routes/ranks.rs
+++ b/crates/vanillakeel/src/routes/ranks.rs
@@ -1,7 +1,6 @@
 //! Ranks of requests at an upstream, from the priorities of workspaces and routes.
 
-/// Ranks that upstreams tell apart, zero is the most urgent.
-const RANKS: usize = 10;
+use crate::fleet::RANKS;
 
 /// Ranks of one version of the routing configuration.
 ///
@@ -32,16 +31,7 @@
     /// Builds the ranks for the priorities of workspaces, `None` where the route decides, and those
     /// of routes.
     pub(super) fn new(workspaces: &[Option<u8>], routes: &[u8]) -> Self {
-        let mut pairs: Vec<_> = routes.iter().map(|route| (*route, *route)).collect();
-        let mut own: Vec<u8> = workspaces.iter().flatten().copied().collect();
-        own.sort_unstable();
-        own.dedup();
-        for priority in own {
-            pairs.extend(routes.iter().map(|route| (priority, *route)));
-        }
-        pairs.sort_unstable();
-        pairs.dedup();
-        let mut tiers: Vec<_> = pairs
+        let mut tiers: Vec<_> = pairs(workspaces, routes)
             .chunk_by(|a, b| a.0 == b.0)
             .map(|tier| Tier {
                 priority: tier[0].0,
@@ -50,23 +40,7 @@
                 len: 1,
             })
             .collect();
-        let taken = |most: usize| {
-            tiers
-                .iter()
-                .map(|t| t.routes.len().min(most))
-                .sum::<usize>()
-        };
-        let most = (1..=RANKS).rev().find(|most| taken(*most) <= RANKS);
-        let most = most.unwrap_or(1);
-        let mut left = taken(most);
-        let mut end = 0;
-        for tier in &mut tiers {
-            let room = RANKS.saturating_sub(left);
-            tier.first = usize::from(tier.priority).min(room).max(end);
-            tier.len = tier.routes.len().min(most);
-            end = tier.first + tier.len;
-            left -= tier.len;
-        }
+        place(&mut tiers);
         Self { tiers }
     }
 
@@ -81,3 +55,33 @@
         rank.min(RANKS - 1) as u8
     }
 }
+
+/// All pairs of a tier's and a route's priority that requests may have, sorted.
+fn pairs(workspaces: &[Option<u8>], routes: &[u8]) -> Vec<(u8, u8)> {
+    let mut own: Vec<u8> = workspaces.iter().flatten().copied().collect();
+    own.sort_unstable();
+    own.dedup();
+    let mut pairs: Vec<_> = routes.iter().map(|route| (*route, *route)).collect();
+    for priority in own {
+        pairs.extend(routes.iter().map(|route| (priority, *route)));
+    }
+    pairs.sort_unstable();
+    pairs.dedup();
+    pairs
+}
+
+/// Gives each tier its ranks, so that all of them have room.
+fn place(tiers: &mut [Tier]) {
+    let taken = |most: usize| -> usize { tiers.iter().map(|t| t.routes.len().min(most)).sum() };
+    let most = (1..=RANKS).rev().find(|most| taken(*most) <= RANKS);
+    let most = most.unwrap_or(1);
+    let mut left = taken(most);
+    let mut end = 0;
+    for tier in tiers {
+        let room = RANKS.saturating_sub(left);
+        tier.first = usize::from(tier.priority).min(room).max(end);
+        tier.len = tier.routes.len().min(most);
+        end = tier.first + tier.len;
+        left -= tier.len;
+    }
+}
