fix(gateway): a few upstreams that go after an outage were removed

Now: while entries may still be listed again, those that are gone are kept only once more than a quarter of the upstreams is gone at once; a release or a crash takes fewer.

--- a/crates/vanillakeel-entry/src/gateway/watch.rs
+++ b/crates/vanillakeel-entry/src/gateway/watch.rs
@@ -33,6 +33,10 @@
 /// A hub's view of the upstreams may differ for this long before the log is read, in ms.
 const DIFFERS_MS: u64 = 600;
 
+/// Largest part of the upstreams whose entries are taken to be removed when they go at once, after
+/// an outage of the log; a release or a crash takes fewer.
+const MOST_REMOVED: f64 = 0.25;
+
 /// Follows the configuration for as long as the process runs.
 pub(super) async fn configuration(shared: Rc<Shared>, source: Source) {
     let mut dependency = Dependency::new("configuration");
@@ -182,12 +186,14 @@
 
 /// Upstreams whose entry is gone.
 ///
-/// After an outage of the log an entry may only have lapsed, so it is not dropped before live
-/// upstreams had the time to be listed again.
+/// After an outage of the log entries may only have lapsed, many at once, so they are not dropped
+/// before live upstreams had the time to be listed again. A few that are gone were removed.
 #[derive(Debug, Default)]
 struct Missing {
     names: Vec<Arc<str>>,
     wait_until: Millis,
+    /// Whether many were missing at once since the outage.
+    have_lapsed: bool,
 }
 
 impl Missing {
@@ -215,7 +221,11 @@
     }
 
     fn drop_due(&mut self, shared: &Shared, now: Millis) {
-        if now < self.wait_until {
+        let known = shared.fleet.borrow().iter().count();
+        let is_many = self.names.len() as f64 > known as f64 * MOST_REMOVED;
+        let may_lapse = now < self.wait_until;
+        self.have_lapsed = may_lapse && (self.have_lapsed || is_many);
+        if self.have_lapsed {
             return;
         }
         for name in self.names.drain(..) {
