--- a/crates/vanillakeel-entry/src/gateway/accept.rs
+++ b/crates/vanillakeel-entry/src/gateway/accept.rs
@@ -59,8 +59,7 @@
 
     /// When the connection has been idle, or in a head, for too long; nothing while it is in use.
     fn ends(&self) -> Option<Millis> {
-        let table = self.shared.in_force.borrow().table().map(Rc::clone);
-        let limits = table.map(|t| *t.limits()).unwrap_or_default();
+        let limits = self.shared.limits();
         let scan = self.scan.borrow();
         let ms = if scan.is_in_head() {
             limits.header_ms
@@ -83,11 +82,17 @@
 
 /// Accepts callers for as long as the process runs.
 pub(super) async fn accept(shared: Rc<Shared>, listener: TcpListener) {
+    loop {
+        let stream = next(&listener).await;
+        spawn_local(connection(Rc::clone(&shared), stream));
+    }
+}
+
+/// The next connection that can be accepted.
+pub(super) async fn next(listener: &TcpListener) -> TcpStream {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                spawn_local(connection(Rc::clone(&shared), stream));
-            }
+            Ok((stream, _)) => return stream,
             Err(e) => {
                 tracing::warn!(error = %e, "a connection could not be accepted");
                 sleep(ACCEPT_PAUSE).await;
@@ -112,8 +117,7 @@
         let connection = Rc::clone(&connection);
         async move { Ok::<_, Infallible>(request::answer(shared, connection, req).await) }
     });
-    let table = shared.in_force.borrow().table().map(Rc::clone);
-    let head_bytes = table.map(|t| *t.limits()).unwrap_or_default().header_bytes;
+    let head_bytes = shared.limits().header_bytes;
     let mut served = pin!(
         http1::Builder::new()
             .keep_alive(!shared.is_closing.get())
--- a/crates/vanillakeel-entry/src/gateway/call.rs
+++ b/crates/vanillakeel-entry/src/gateway/call.rs
@@ -9,10 +9,13 @@
     rc::Rc,
     sync::Arc, //
 };
-use vanillakeel::fleet::{
-    End,
-    Pick,
-    Ticket, //
+use vanillakeel::{
+    Millis,
+    fleet::{
+        End,
+        Pick,
+        Ticket, //
+    },
 };
 
 /// One send of a request to an upstream.
@@ -48,9 +51,8 @@
     }
 
     /// Takes note of the first event.
-    pub(super) fn on_first(&mut self) {
+    pub(super) fn on_first(&mut self, now: Millis) {
         if let Some(ticket) = &mut self.ticket {
-            let now = self.shared.clock.now();
             self.shared.fleet.borrow_mut().on_first(now, ticket);
         }
     }
--- a/crates/vanillakeel-entry/src/gateway/exchange.rs
+++ b/crates/vanillakeel-entry/src/gateway/exchange.rs
@@ -12,7 +12,6 @@
     },
     headers,
     lines::Kind,
-    metrics::Times,
     progress::Progress,
     relay::Relay,
     request::Order,
@@ -44,13 +43,10 @@
     time::Duration, //
 };
 use tokio::time::timeout;
-use vanillakeel::{
-    Millis,
-    fleet::{
-        Ask,
-        End,
-        Pick, //
-    },
+use vanillakeel::fleet::{
+    Ask,
+    End,
+    Pick, //
 };
 
 /// Upstreams without a connection that are tried for one request.
@@ -414,12 +410,13 @@
     }
     match take_whole(body).await {
         Ok(Taken::Whole(bytes)) => {
-            call.on_first();
+            let now = shared.clock.now();
+            call.on_first(now);
             let is_failure = head.status.is_server_error();
             let upstream = Arc::clone(call.upstream());
             call.end(if is_failure { End::Failed } else { End::Good });
             let mut progress = Progress::default();
-            progress.on_part(shared.clock.now());
+            progress.on_part(now);
             progress.bytes = bytes.len() as u64;
             log_answer(shared, order, &upstream, head.status, &progress);
             let response = Response::from_parts(head, Answer::Whole(Some(bytes)));
@@ -430,7 +427,7 @@
             })
         }
         Ok(Taken::Start(bytes, body)) => {
-            call.on_first();
+            call.on_first(shared.clock.now());
             let tries = std::mem::take(tries);
             let relay = Relay::new(shared, order, tries, call, body).with_start(bytes);
             let answer = Answer::Relayed(Box::new(relay));
@@ -451,13 +448,7 @@
     status: StatusCode,
     progress: &Progress,
 ) {
-    let now = shared.clock.now();
-    let first_ms = progress.first_ms(order.arrived);
-    let times = Times {
-        first_ms,
-        longest_gap_ms: progress.longest_gap_ms(),
-        whole_ms: now.since(order.arrived),
-    };
+    let times = progress.times(order.arrived, shared.clock.now());
     shared.metrics.on_answer(order.priority, status, &times);
     if !shared.may_log(Kind::Usual) {
         return;
@@ -467,8 +458,8 @@
         upstream,
         status = status.as_u16(),
         bytes = progress.bytes,
-        first_ms,
-        gap_ms = progress.longest_gap_ms(),
+        first_ms = times.first_ms,
+        gap_ms = times.longest_gap_ms,
         after_ms = times.whole_ms,
         "answered"
     );
@@ -494,8 +485,3 @@
     }
     Ok(Taken::Whole(bytes.freeze()))
 }
-
-/// The time by which an answer has to end, as a wait from now.
-pub(super) fn wait_until(now: Millis, deadline: Millis) -> Duration {
-    Duration::from_millis(deadline.since(now))
-}
--- a/crates/vanillakeel-entry/src/gateway/headers.rs
+++ b/crates/vanillakeel-entry/src/gateway/headers.rs
@@ -22,12 +22,8 @@
 
 /// Removes the headers that concern one connection only, those named by `Connection` among them.
 pub(super) fn strip_hop_by_hop(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|v| v.to_str().ok())
-        .flat_map(|v| v.split(','))
-        .filter_map(|name| name.trim().parse().ok())
+    let named: Vec<HeaderName> = connection_tokens(headers)
+        .filter_map(|name| name.parse().ok())
         .collect();
     for name in HOP_BY_HOP.iter().chain(&named) {
         headers.remove(name);
@@ -80,10 +76,15 @@
 
 /// Whether an answer ends its connection.
 pub(super) fn says_close(headers: &HeaderMap) -> bool {
+    connection_tokens(headers).any(|token| token.eq_ignore_ascii_case("close"))
+}
+
+/// What `Connection` names.
+fn connection_tokens(headers: &HeaderMap) -> impl Iterator<Item = &str> {
     headers
         .get_all(header::CONNECTION)
         .iter()
         .filter_map(|v| v.to_str().ok())
         .flat_map(|v| v.split(','))
-        .any(|token| token.trim().eq_ignore_ascii_case("close"))
+        .map(str::trim)
 }
--- a/crates/vanillakeel-entry/src/gateway/metrics.rs
+++ b/crates/vanillakeel-entry/src/gateway/metrics.rs
@@ -1,6 +1,9 @@
 //! Counters and histograms of a pass-through instance.
 
-use super::answer::Refusal;
+use super::{
+    answer::Refusal,
+    progress::Times, //
+};
 use http::StatusCode;
 use prometheus_client::{
     encoding::{
@@ -38,17 +41,6 @@
     rank: u8,
 }
 
-/// Times of one answer.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Times {
-    /// From the arrival of the request to the first event, in ms.
-    pub(super) first_ms: Option<u64>,
-    /// Longest pause between two events in ms, if there was more than one.
-    pub(super) longest_gap_ms: Option<u64>,
-    /// From the arrival of the request to the end of the answer, in ms.
-    pub(super) whole_ms: u64,
-}
-
 /// A histogram of times for each rank.
 type ByRank = Family<OfRank, Histogram, fn() -> Histogram>;
 
--- a/crates/vanillakeel-entry/src/gateway/operators.rs
+++ b/crates/vanillakeel-entry/src/gateway/operators.rs
@@ -1,6 +1,9 @@
 //! Readiness and metrics, for the balancer and operators.
 
-use super::shared::Shared;
+use super::{
+    accept,
+    shared::Shared, //
+};
 use bytes::Bytes;
 use http::{
     Request,
@@ -22,25 +25,16 @@
 use tokio::{
     net::TcpListener,
     task::spawn_local,
-    time::{
-        sleep,
-        timeout, //
-    },
+    time::timeout, //
 };
 
 /// Longest life of a connection.
 const MAX_LIFE: Duration = Duration::from_secs(60);
 
-/// Pause after a connection could not be accepted.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// Serves `/ready`, `/healthz` and `/metrics`.
 pub(super) async fn serve(shared: Rc<Shared>, listener: TcpListener) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
+        let stream = accept::next(&listener).await;
         let shared = Rc::clone(&shared);
         let service = service_fn(move |req| {
             let response = page(&shared, &req);
--- a/crates/vanillakeel-entry/src/gateway/peers.rs
+++ b/crates/vanillakeel-entry/src/gateway/peers.rs
@@ -178,24 +178,24 @@
 
 /// Sends the total of the own data centre to the other hubs, and takes theirs into account.
 async fn exchange(shared: &Shared, socket: &UdpSocket, now: Millis) {
-    let own = shared.fleet.borrow().loads();
-    let (peers, loads, instances) = {
+    let (peers, members, instances) = {
         let mesh = shared.mesh.borrow();
-        let (loads, instances) = mesh.own_zone(now, &own, "");
-        (mesh.other_hubs(now), loads, instances)
+        let (members, instances) = mesh.own_zone(now, &Loads::default(), "");
+        (mesh.other_hubs(now), members, instances)
     };
+    let mut total = shared.fleet.borrow().loads();
+    total.merge(&members);
     for peer in peers {
         shared.mesh.borrow_mut().on_asked(now, &peer.name);
         let message = MeshExchange {
-            loads: Some(loads_to_wire(&loads)),
+            loads: Some(loads_to_wire(&total)),
             instances,
             reads: Some(reads_to_wire(shared, now)),
         };
         send(shared, socket, &peer, Kind::Exchange(message)).await;
     }
-    let mesh = shared.mesh.borrow();
-    let (mut remote, _) = mesh.own_zone(now, &Loads::default(), "");
-    remote.merge(&mesh.other_zones(now).0);
+    let mut remote = members;
+    remote.merge(&shared.mesh.borrow().other_zones(now).0);
     shared.fleet.borrow_mut().set_remote(&remote);
 }
 
--- a/crates/vanillakeel-entry/src/gateway/progress.rs
+++ b/crates/vanillakeel-entry/src/gateway/progress.rs
@@ -2,6 +2,17 @@
 
 use vanillakeel::Millis;
 
+/// Times of one answer.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Times {
+    /// From the arrival of the request to the first event, in ms.
+    pub(super) first_ms: Option<u64>,
+    /// Longest pause between two events in ms, if there was more than one.
+    pub(super) longest_gap_ms: Option<u64>,
+    /// From the arrival of the request to the end of the answer, in ms.
+    pub(super) whole_ms: u64,
+}
+
 /// What is known of an answer while it comes in.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Progress {
@@ -26,9 +37,13 @@
         self.first.map(|first| first.since(arrived))
     }
 
-    /// Longest time between two parts in ms, if there was more than one.
-    pub(super) const fn longest_gap_ms(&self) -> Option<u64> {
-        self.longest_gap_ms
+    /// The times of an answer that has ended at `now`.
+    pub(super) fn times(&self, arrived: Millis, now: Millis) -> Times {
+        Times {
+            first_ms: self.first_ms(arrived),
+            longest_gap_ms: self.longest_gap_ms,
+            whole_ms: now.since(arrived),
+        }
     }
 }
 
--- a/crates/vanillakeel-entry/src/gateway/relay.rs
+++ b/crates/vanillakeel-entry/src/gateway/relay.rs
@@ -42,6 +42,7 @@
         Poll,
         ready, //
     },
+    time::Duration,
 };
 use tokio::time::{
     Sleep,
@@ -90,14 +91,14 @@
         call: Call,
         body: Incoming,
     ) -> Self {
-        let wait = exchange::wait_until(shared.clock.now(), order.deadline);
+        let left = Duration::from_millis(order.left_ms(shared.clock.now()));
         let is_resumable = order.route.kind == Kind::Stream { resumable: true };
         Self {
             shared: Rc::clone(shared),
             order: Rc::clone(order),
             tries: Some(tries),
             flow: Flow::Running(Box::new((call, body))),
-            deadline: Box::pin(sleep(wait)),
+            deadline: Box::pin(sleep(left)),
             events: is_resumable.then(Events::default),
             start: None,
             progress: Progress::default(),
@@ -160,9 +161,10 @@
     /// Takes a frame; returns what can be handed on.
     fn on_frame(&mut self, frame: Frame<Bytes>) -> Option<Bytes> {
         let data = frame.into_data().ok()?;
-        self.progress.on_part(self.shared.clock.now());
+        let now = self.shared.clock.now();
+        self.progress.on_part(now);
         if let Flow::Running(running) = &mut self.flow {
-            running.0.on_first();
+            running.0.on_first(now);
         }
         match &mut self.events {
             None => Some(data),
--- a/crates/vanillakeel-entry/src/gateway/request.rs
+++ b/crates/vanillakeel-entry/src/gateway/request.rs
@@ -158,8 +158,7 @@
     req: Request<Incoming>,
 ) -> Result<Response<Answer>, Refusal> {
     let (parts, body) = req.into_parts();
-    let table = shared.in_force.borrow().table().map(Rc::clone);
-    let limits = table.as_ref().map(|t| *t.limits()).unwrap_or_default();
+    let limits = shared.limits();
     let body = read_body(body, limits.body_bytes, limits.idle_ms).await?;
     if is_past_stop(shared) {
         return Err(Refusal::Stopping);
--- a/crates/vanillakeel-entry/src/gateway/settings.rs
+++ b/crates/vanillakeel-entry/src/gateway/settings.rs
@@ -27,8 +27,8 @@
     Log,
     check_listen,
     fail,
-    read_file,
-    syntax, //
+    parse,
+    read, //
 };
 use serde::Deserialize;
 use std::{
@@ -197,7 +197,7 @@
     ///
     /// Returns the first fault found; its text names the key and the reason.
     pub fn read(path: &Path) -> Result<Self, Error> {
-        Self::parse(&read_file(path)?)
+        read(path, Self::check)
     }
 
     /// Reads and checks settings.
@@ -206,9 +206,7 @@
     ///
     /// Returns the first fault found; its text names the key and the reason.
     pub fn parse(source: &str) -> Result<Self, Error> {
-        let settings: Self = toml::from_str(source).map_err(|e| syntax(source, &e))?;
-        settings.check()?;
-        Ok(settings)
+        parse(source, Self::check)
     }
 
     fn check(&self) -> Result<(), Error> {
--- a/crates/vanillakeel-entry/src/gateway/shared.rs
+++ b/crates/vanillakeel-entry/src/gateway/shared.rs
@@ -41,7 +41,8 @@
     order,
     routes::{
         Freshness,
-        InForce, //
+        InForce,
+        Limits, //
     },
 };
 
@@ -144,6 +145,12 @@
         }
     }
 
+    /// Limits on what callers send, those of the version in force.
+    pub(super) fn limits(&self) -> Limits {
+        let in_force = self.in_force.borrow();
+        in_force.table().map(|t| *t.limits()).unwrap_or_default()
+    }
+
     /// Whether new requests are wanted: a configuration is known and no stop was asked for.
     pub(super) fn is_ready(&self) -> bool {
         self.stopping.get().is_none() && self.in_force.borrow().table().is_some()
--- a/crates/vanillakeel-entry/src/gateway/sockets.rs
+++ b/crates/vanillakeel-entry/src/gateway/sockets.rs
@@ -25,6 +25,16 @@
     idle: Vec<Idle>,
 }
 
+impl Kept {
+    /// Closes the idle connections that have lapsed, and all others unless `keeps`.
+    fn sweep(&mut self, now: Millis, keeps: bool) {
+        let before = self.idle.len();
+        self.idle
+            .retain(|i| keeps && now < i.until && !i.client.is_closed());
+        self.open -= (before - self.idle.len()) as u32;
+    }
+}
+
 /// Connections to all upstreams, sorted by name and incarnation.
 #[derive(Debug, Default)]
 pub(super) struct Sockets {
@@ -64,9 +74,7 @@
         incarnation: u64,
     ) -> Option<Client> {
         let kept = self.entry(name, incarnation);
-        let before = kept.idle.len();
-        kept.idle.retain(|i| now < i.until && !i.client.is_closed());
-        kept.open -= (before - kept.idle.len()) as u32;
+        kept.sweep(now, true);
         let at = kept.idle.iter().rposition(|i| i.client.is_ready())?;
         Some(kept.idle.remove(at).client)
     }
@@ -107,11 +115,8 @@
     /// Drops idle connections that have lapsed or whose upstream is not live any more.
     pub(super) fn sweep(&mut self, now: Millis, is_live: impl Fn(&str, u64) -> bool) {
         for kept in &mut self.sorted {
-            let live = is_live(&kept.name, kept.incarnation);
-            let before = kept.idle.len();
-            kept.idle
-                .retain(|i| live && now < i.until && !i.client.is_closed());
-            kept.open -= (before - kept.idle.len()) as u32;
+            let keeps = is_live(&kept.name, kept.incarnation);
+            kept.sweep(now, keeps);
         }
         self.sorted
             .retain(|k| k.open > 0 || is_live(&k.name, k.incarnation));
--- a/crates/vanillakeel-entry/src/logs.rs
+++ b/crates/vanillakeel-entry/src/logs.rs
@@ -22,7 +22,7 @@
 ///
 /// Returns a text if the filter can't be read or lines were set up before.
 pub fn init_stdout(settings: &Log) -> Result<WorkerGuard, String> {
-    let filter = EnvFilter::try_new(&settings.level).map_err(|e| format!("log.level: {e}"))?;
+    let filter = filter(settings)?;
     let (writer, guard) = NonBlockingBuilder::default()
         .lossy(true)
         .buffered_lines_limit(MAX_WAITING_LINES)
@@ -43,7 +43,7 @@
 ///
 /// Returns a text if the filter can't be read or lines were set up before.
 pub fn init(settings: &Log) -> Result<(), String> {
-    let filter = EnvFilter::try_new(&settings.level).map_err(|e| format!("log.level: {e}"))?;
+    let filter = filter(settings)?;
     let spans = if settings.spans {
         FmtSpan::CLOSE
     } else {
@@ -59,3 +59,7 @@
     };
     done.map_err(|e| e.to_string())
 }
+
+fn filter(settings: &Log) -> Result<EnvFilter, String> {
+    EnvFilter::try_new(&settings.level).map_err(|e| format!("log.level: {e}"))
+}
--- a/crates/vanillakeel-entry/src/settings.rs
+++ b/crates/vanillakeel-entry/src/settings.rs
@@ -23,7 +23,10 @@
 //! # Ok::<(), vanillakeel_entry::settings::Error>(())
 //! ```
 
-use serde::Deserialize;
+use serde::{
+    Deserialize,
+    de::DeserializeOwned, //
+};
 use std::{
     fs,
     net::SocketAddr,
@@ -283,7 +286,7 @@
     ///
     /// Returns the first fault found; its text names the key and the reason.
     pub fn read(path: &Path) -> Result<Self, Error> {
-        Self::parse(&read_file(path)?)
+        read(path, Self::check)
     }
 
     /// Reads and checks settings.
@@ -292,9 +295,7 @@
     ///
     /// Returns the first fault found; its text names the key and the reason.
     pub fn parse(source: &str) -> Result<Self, Error> {
-        let settings: Self = toml::from_str(source).map_err(|e| syntax(source, &e))?;
-        settings.check()?;
-        Ok(settings)
+        parse(source, Self::check)
     }
 
     fn check(&self) -> Result<(), Error> {
@@ -320,16 +321,30 @@
     }
 }
 
-/// The text of a settings file.
-pub(crate) fn read_file(path: &Path) -> Result<String, Error> {
-    fs::read_to_string(path).map_err(|e| Error::Read {
+/// Reads a settings file and checks it.
+pub(crate) fn read<T: DeserializeOwned>(
+    path: &Path,
+    check: fn(&T) -> Result<(), Error>,
+) -> Result<T, Error> {
+    let source = fs::read_to_string(path).map_err(|e| Error::Read {
         path: path.display().to_string(),
         reason: e.to_string(),
-    })
+    })?;
+    parse(&source, check)
+}
+
+/// Reads settings from TOML and checks them.
+pub(crate) fn parse<T: DeserializeOwned>(
+    source: &str,
+    check: fn(&T) -> Result<(), Error>,
+) -> Result<T, Error> {
+    let settings = toml::from_str(source).map_err(|e| syntax(source, &e))?;
+    check(&settings)?;
+    Ok(settings)
 }
 
 /// A fault of the form, with its line.
-pub(crate) fn syntax(source: &str, error: &toml::de::Error) -> Error {
+fn syntax(source: &str, error: &toml::de::Error) -> Error {
     let start = error.span().map_or(0, |span| span.start.min(source.len()));
     let line = source[..start].matches('\n').count() + 1;
     Error::Syntax {
--- a/crates/vanillakeel-entry/tests/unit/answer_progress.rs
+++ b/crates/vanillakeel-entry/tests/unit/answer_progress.rs
@@ -9,7 +9,8 @@
     assert_eq!(progress.first_ms(Millis::new(100)), None);
     progress.on_part(Millis::new(130));
     assert_eq!(progress.first_ms(Millis::new(100)), Some(30));
-    assert_eq!(progress.longest_gap_ms(), None);
+    let times = progress.times(Millis::new(100), Millis::new(130));
+    assert_eq!(times.longest_gap_ms, None);
 }
 
 #[test]
@@ -19,5 +20,7 @@
         progress.on_part(Millis::new(at));
     }
     assert_eq!(progress.first_ms(Millis::new(100)), Some(30));
-    assert_eq!(progress.longest_gap_ms(), Some(50));
+    let times = progress.times(Millis::new(100), Millis::new(210));
+    assert_eq!(times.longest_gap_ms, Some(50));
+    assert_eq!(times.whole_ms, 110);
 }
--- a/crates/vanillakeel/src/routes.rs
+++ b/crates/vanillakeel/src/routes.rs
@@ -64,9 +64,7 @@
             limits,
         } = parts;
         let workspaces: Vec<_> = clients.iter().map(|c| c.priority).collect();
-        let mut priorities: Vec<_> = routes.iter().map(|r| r.priority).collect();
-        priorities.sort_unstable();
-        priorities.dedup();
+        let priorities: Vec<_> = routes.iter().map(|r| r.priority).collect();
         let ranks = Ranks::new(&workspaces, &priorities);
         let mut routes: Vec<_> = routes.into_iter().map(Rc::new).collect();
         routes.sort_by(|a, b| {
--- a/crates/vanillakeel/src/routes/ranks.rs
+++ b/crates/vanillakeel/src/routes/ranks.rs
@@ -58,16 +58,20 @@
 
 /// All pairs of a tier's and a route's priority that requests may have, sorted.
 fn pairs(workspaces: &[Option<u8>], routes: &[u8]) -> Vec<(u8, u8)> {
-    let mut own: Vec<u8> = workspaces.iter().flatten().copied().collect();
-    own.sort_unstable();
-    own.dedup();
+    let routes = distinct(routes.iter().copied());
+    let own = distinct(workspaces.iter().flatten().copied());
     let mut pairs: Vec<_> = routes.iter().map(|route| (*route, *route)).collect();
     for priority in own {
         pairs.extend(routes.iter().map(|route| (priority, *route)));
     }
-    pairs.sort_unstable();
-    pairs.dedup();
-    pairs
+    distinct(pairs.into_iter())
+}
+
+fn distinct<T: Ord>(values: impl Iterator<Item = T>) -> Vec<T> {
+    let mut sorted: Vec<T> = values.collect();
+    sorted.sort_unstable();
+    sorted.dedup();
+    sorted
 }
 
 /// Gives each tier its ranks, so that all of them have room.
