feat: fetch cached prompt prefixes from the upstream that holds them

A request that overflows from its preferred upstream computes its prefix there, although engines can fetch it from each other, which is cheaper than the prefill on all deployments.

Change: a directory of the segments that each upstream has computed, from own calls whose first event has arrived and from notices of peers (now also of short segments, and sent once computed instead of when sent). The choice prices a fetched token at a quarter of a computed one and names the most recently used holder of the longest part as source, unless the chosen upstream is known to hold as much. Upstreams that leave, restart or are ejected are not named.

Test cache_notice_applied now expects the notice once the prefill is done, and that none is sent before.

Also takes the types of a request and a pick out of the circle of choice, admission and state.

--- a/crates/vanillakeel-entry/src/gateway/exchange.rs
+++ b/crates/vanillakeel-entry/src/gateway/exchange.rs
@@ -314,6 +314,9 @@
         proof_age_ms = in_force.confirmation_age_ms(now),
         attempt = attempts.possible_runs,
         to_read = pick.prefill_tokens,
+        cached = pick.cached_tokens,
+        fetched = pick.fetched_tokens,
+        fetch_from = pick.cache_source.as_ref().map(|s| &*s.name),
         ahead = pick.tokens_ahead,
         wait_ms = pick.wait_ms,
         left_ms = request.remaining_ms(now),
@@ -403,6 +406,10 @@
     if let Ok(name) = HeaderValue::from_str(&pick.name) {
         headers.insert(names.expected_upstream.clone(), name);
     }
+    let source = pick.cache_source.as_ref().map(|s| s.address.to_string());
+    if let Some(value) = source.and_then(|a| HeaderValue::from_str(&a).ok()) {
+        headers.insert(names.cache_source.clone(), value);
+    }
     let last_event_id = last_event_id.and_then(|id| HeaderValue::from_str(id).ok());
     if let Some(id) = last_event_id {
         headers.insert("last-event-id", id);
--- a/crates/vanillakeel-entry/src/gateway/header_names.rs
+++ b/crates/vanillakeel-entry/src/gateway/header_names.rs
@@ -23,6 +23,9 @@
     pub expected_upstream: HeaderName,
     /// Rank of the request at the upstream, set by the instance.
     pub priority: HeaderName,
+    /// Address of another upstream from whose cache shared segments of the prompt are fetched, set by
+    /// the instance.
+    pub cache_source: HeaderName,
     /// Set by an upstream that has not run the request.
     pub not_run: HeaderName,
     /// Set by an upstream on each successful answer, to show that the answer is its own.
@@ -42,6 +45,7 @@
             workspace: name("x-workspace"),
             expected_upstream: name("x-expected-upstream"),
             priority: name("x-priority"),
+            cache_source: name("x-cache-source"),
             not_run: name("x-not-run"),
             seal: name("x-seal"),
             reserved: Vec::new(),
--- a/crates/vanillakeel-entry/src/gateway/headers.rs
+++ b/crates/vanillakeel-entry/src/gateway/headers.rs
@@ -53,6 +53,7 @@
         &names.workspace,
         &names.expected_upstream,
         &names.priority,
+        &names.cache_source,
         &names.not_run,
         &names.seal,
     ];
--- a/crates/vanillakeel/src/fleet.rs
+++ b/crates/vanillakeel/src/fleet.rs
@@ -21,14 +21,17 @@
 //! ```
 
 mod admit;
+mod cache_source;
 mod cached;
 pub mod choose;
+mod request;
 mod state;
 mod upstream;
 
 pub(crate) use self::upstream::RANK_COUNT;
 pub use self::{
-    choose::{
+    request::{
+        CacheSource,
         Pick,
         PromptSegment,
         RequestInfo, //
--- a/crates/vanillakeel/src/fleet/admit.rs
+++ b/crates/vanillakeel/src/fleet/admit.rs
@@ -8,7 +8,7 @@
 //! the queue should be short enough.
 
 use super::{
-    choose::{
+    request::{
         Pick,
         RequestInfo, //
     },
--- a/crates/vanillakeel/src/fleet/choose.rs
+++ b/crates/vanillakeel/src/fleet/choose.rs
@@ -17,11 +17,13 @@
 //! overflow to different upstreams, although all instances see the same outdated load.
 
 use super::{
-    state::Fleet,
-    upstream::{
-        RANK_COUNT,
-        Upstream, //
+    request::{
+        CacheSource,
+        Pick,
+        RequestInfo, //
     },
+    state::Fleet,
+    upstream::Upstream, //
 };
 use crate::{
     Millis,
@@ -29,7 +31,6 @@
 };
 use std::{
     cmp::Reverse,
-    net::SocketAddr,
     sync::Arc, //
 };
 
@@ -42,66 +43,6 @@
 /// Position for an upstream outside the rendezvous order, where none is preferred.
 const NOT_PREFERRED: usize = usize::MAX;
 
-/// A segment of a prompt that can be shared with other prompts and cached.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct PromptSegment {
-    /// Identifies the segment together with everything before it, so equal ids mean equal prefixes.
-    pub id: u64,
-    /// Length in tokens.
-    pub tokens: u32,
-}
-
-/// The properties of a request that the choice of an upstream depends on.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct RequestInfo<'a> {
-    /// Name of the service.
-    pub service: &'a str,
-    /// Segments of the prompt in order; the last one is not shared with other requests.
-    pub segments: &'a [PromptSegment],
-    /// Length of the prompt in tokens, zero if the request has no prompt.
-    pub prompt_tokens: u32,
-    /// Scheduling rank of the request; zero is the most urgent.
-    pub rank: u8,
-    /// Target for the time to the first event, in ms; zero if there is none.
-    pub target_ms: u64,
-    /// Names of the upstreams that were already tried.
-    pub tried: &'a [Arc<str>],
-}
-
-impl RequestInfo<'_> {
-    /// Returns the segments that other requests may share.
-    pub(super) fn shared(&self) -> &[PromptSegment] {
-        self.segments.split_last().map_or(&[], |(_, shared)| shared)
-    }
-
-    pub(super) fn rank_index(&self) -> usize {
-        usize::from(self.rank).min(RANK_COUNT - 1)
-    }
-
-    /// Returns the id of the longest shared prefix, which decides the cache affinity, or zero if
-    /// nothing is shared.
-    fn affinity_key(&self) -> u64 {
-        self.shared().last().map_or(0, |s| s.id)
-    }
-}
-
-/// The upstream that was chosen for a request.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Pick {
-    /// Name of the upstream.
-    pub name: Arc<str>,
-    /// Incarnation of the upstream.
-    pub incarnation: u64,
-    /// Address on which it listens.
-    pub address: SocketAddr,
-    /// Prompt tokens that are probably not cached there and need prefill.
-    pub prefill_tokens: u32,
-    /// Tokens of other prompts whose prefill comes first there.
-    pub tokens_ahead: u64,
-    /// Expected wait until the prefill can start, in ms.
-    pub wait_ms: u64,
-}
-
 /// An upstream under consideration, with its cost.
 struct Candidate<'a> {
     upstream: &'a Upstream,
@@ -111,17 +52,27 @@
     tokens_ahead: u64,
     /// Prompt tokens that need prefill.
     prefill_tokens: u32,
+    /// Shared prompt tokens that are probably cached there.
+    cached_tokens: u32,
+    /// Shared prompt tokens that are fetched from another upstream.
+    fetched_tokens: u32,
+    /// Whether the cache source is known to have segments that this upstream is not known to have.
+    lacks_segments: bool,
     cost: f64,
 }
 
 impl Candidate<'_> {
-    fn pick(&self) -> Pick {
+    /// Returns the pick, with `cache_source` if it is worth a transfer.
+    fn pick(&self, cache_source: Option<CacheSource>) -> Pick {
         let listed = &self.upstream.listed;
         Pick {
             name: Arc::clone(&listed.name),
             incarnation: listed.incarnation,
             address: listed.address,
             prefill_tokens: self.prefill_tokens,
+            cached_tokens: self.cached_tokens,
+            fetched_tokens: self.fetched_tokens,
+            cache_source: cache_source.filter(|_| self.lacks_segments),
             tokens_ahead: self.tokens_ahead,
             wait_ms: self.wait_ms as u64,
         }
@@ -138,20 +89,22 @@
         let random = self.next_random();
         let group = self.eligible_group(now, request);
         let ordered = Self::rendezvous_order(request, &group, random);
+        let source = self.cache_source(request);
         let free_wait_limit = self.free_wait_limit_ms(request, &group);
-        self.cheapest_until_free(request, &ordered, free_wait_limit)
-            .map(|best| best.pick())
+        self.cheapest_until_free(request, &ordered, source.as_ref(), free_wait_limit)
+            .map(|best| best.pick(source.clone()))
     }
 
     /// Returns the upstream with the shortest wait, whether or not it has the prompt cached.
     pub(super) fn shortest_wait(&self, now: Millis, request: &RequestInfo<'_>) -> Option<Pick> {
         let group = self.eligible_group(now, request);
+        let source = self.cache_source(request);
         let candidates = group
             .iter()
-            .map(|u| self.candidate(request, u, NOT_PREFERRED));
+            .map(|u| self.candidate(request, u, source.as_ref(), NOT_PREFERRED));
         candidates
             .min_by(|a, b| a.wait_ms.total_cmp(&b.wait_ms))
-            .map(|best| best.pick())
+            .map(|best| best.pick(source.clone()))
     }
 
     /// Returns whether the prompt of a request counts as short.
@@ -254,11 +207,12 @@
         &self,
         request: &RequestInfo<'_>,
         ordered: &[&'a Upstream],
+        source: Option<&CacheSource>,
         free_wait_limit: f64,
     ) -> Option<Candidate<'a>> {
         let mut best: Option<Candidate<'a>> = None;
         for (position, upstream) in ordered.iter().enumerate() {
-            let candidate = self.candidate(request, upstream, position);
+            let candidate = self.candidate(request, upstream, source, position);
             let is_free = candidate.wait_ms <= free_wait_limit;
             if best.as_ref().is_none_or(|b| candidate.cost < b.cost) {
                 best = Some(candidate);
@@ -274,12 +228,24 @@
         &self,
         request: &RequestInfo<'_>,
         upstream: &'a Upstream,
+        source: Option<&CacheSource>,
         position: usize,
     ) -> Candidate<'a> {
         let cfg = self.settings();
-        let prefill_tokens = self.uncached_tokens(request, upstream, position);
-        let own_tokens = request.segments.last().map_or(0, |s| s.tokens);
-        let recomputed_tokens = f64::from(prefill_tokens.saturating_sub(own_tokens));
+        let cached_tokens = Self::cached_tokens(request, upstream, position);
+        let computed_tokens = upstream.cached.computed_prefix(request.shared()).tokens;
+        let fetchable = |here: u32| {
+            source
+                .filter(|s| s.name != upstream.listed.name)
+                .map_or(0, |s| s.cached_tokens.saturating_sub(here))
+        };
+        let fetched_tokens = fetchable(cached_tokens);
+        let lacks_segments = fetchable(computed_tokens) >= cfg.min_fetched_tokens;
+        let available_tokens = cached_tokens + fetched_tokens;
+        let recomputed_tokens = request.shared_tokens().saturating_sub(available_tokens);
+        let prefill_tokens = request.prompt_tokens.saturating_sub(available_tokens);
+        let priced_tokens =
+            f64::from(recomputed_tokens) + f64::from(fetched_tokens) * cfg.fetch_weight;
         let is_other_data_centre = upstream.listed.data_centre != cfg.data_centre;
         let wait_ms = self.wait_ms(request, upstream);
         Candidate {
@@ -287,8 +253,11 @@
             wait_ms,
             tokens_ahead: upstream.prefill_tokens_up_to(request.rank_index()),
             prefill_tokens,
+            cached_tokens,
+            fetched_tokens,
+            lacks_segments,
             cost: wait_ms
-                + recomputed_tokens * self.prefill_ms_per_token() * cfg.recompute_weight
+                + priced_tokens * self.prefill_ms_per_token() * cfg.recompute_weight
                 + if is_other_data_centre {
                     cfg.cross_data_centre_cost_ms
                 } else {
@@ -297,22 +266,15 @@
         }
     }
 
-    /// Returns the prompt tokens that an upstream does not have cached; the preferred upstream is
-    /// taken to have every shared segment.
-    fn uncached_tokens(
-        &self,
-        request: &RequestInfo<'_>,
-        upstream: &Upstream,
-        position: usize,
-    ) -> u32 {
-        let shared = request.shared();
+    /// Returns the shared prompt tokens that an upstream probably has cached; the preferred upstream
+    /// is taken to have every shared segment.
+    fn cached_tokens(request: &RequestInfo<'_>, upstream: &Upstream, position: usize) -> u32 {
         let is_preferred = position == 0 && request.tried.is_empty();
-        let cached: u32 = shared
-            .iter()
-            .take_while(|s| is_preferred || upstream.cached.contains(s.id))
-            .map(|s| s.tokens)
-            .sum();
-        request.prompt_tokens.saturating_sub(cached)
+        if is_preferred {
+            request.shared_tokens()
+        } else {
+            upstream.cached.prefix(request.shared()).tokens
+        }
     }
 
     /// Returns the expected wait at an upstream until a new prompt's prefill can start, in ms.
--- a/crates/vanillakeel/src/fleet/state.rs
+++ b/crates/vanillakeel/src/fleet/state.rs
@@ -2,8 +2,9 @@
 
 use super::{
     admit::RecentTargets,
-    choose::{
+    request::{
         Pick,
+        PromptSegment,
         RequestInfo, //
     },
     upstream::{
@@ -37,6 +38,10 @@
     pub occupancy_cost_ms: f64,
     /// Weight of the time for computing shared tokens again, relative to a wait of the same length.
     pub recompute_weight: f64,
+    /// Fewest tokens that are fetched from the cache of another upstream instead of computed again.
+    pub min_fetched_tokens: u32,
+    /// Weight of a token that is fetched, relative to one that is computed again.
+    pub fetch_weight: f64,
     /// Longest prompt that counts as short, in tokens; such a prompt hardly delays the tokens of
     /// others.
     pub short_prompt_max_tokens: u32,
@@ -76,10 +81,12 @@
             data_centre: Arc::from(""),
             prefill_ms_per_token: 0.02,
             occupancy_cost_ms: 100.0,
+            min_fetched_tokens: 64,
+            fetch_weight: 0.25,
             short_prompt_max_tokens: 4_096,
             short_prompt_occupancy: 0.5,
             own_target_factor: 2.0,
-            announced_min_tokens: 512,
+            announced_min_tokens: 64,
             urgent_target_factor: 1.0,
             min_retry_after_ms: 1_000,
             max_short_prompt_share: 0.6,
@@ -115,6 +122,8 @@
     is_short_prompt: bool,
     sent: Millis,
     is_prefill_done: bool,
+    /// Segments of the prompt that other requests may share.
+    shared: Vec<PromptSegment>,
 }
 
 /// The upstreams of all services, with load, health and cached prompts.
@@ -135,7 +144,7 @@
     cache_notices: Vec<CacheNotice>,
 }
 
-/// Notice that an upstream was sent a shared prompt segment that it did not have cached.
+/// Notice that an upstream has computed a shared prompt segment that it did not have cached.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CacheNotice {
     at: Millis,
@@ -319,28 +328,19 @@
         self.extrapolation_factor = factor;
     }
 
-    /// Counts a call that is sent to the chosen upstream, and records its shared segments as cached
+    /// Counts a call that is sent to the chosen upstream, and records the use of its shared segments
     /// there.
     pub fn on_send(&mut self, now: Millis, pick: &Pick, request: &RequestInfo<'_>) -> InFlightCall {
         let rank = request.rank_index();
         let is_short_prompt = self.is_short_prompt(request);
-        let min_tokens = self.settings.announced_min_tokens;
-        let mut cache_notices = Vec::new();
         if let Some(upstream) = self.find_incarnation(&pick.name, pick.incarnation) {
             upstream.load.calls[rank] += 1;
             upstream.load.prefill_tokens[rank] += u64::from(pick.prefill_tokens);
             upstream.health.on_send();
-            let hash = upstream.hash;
             for segment in request.shared() {
-                let is_new = upstream.cached.insert(now, segment.id);
-                if is_new && segment.tokens >= min_tokens {
-                    cache_notices.push((segment.id, hash));
-                }
+                upstream.cached.on_use(now, segment.id);
             }
         }
-        for (segment, upstream) in cache_notices {
-            self.record_cache_notice(now, segment, upstream);
-        }
         if is_short_prompt {
             self.short_prompt_calls += 1;
         }
@@ -353,6 +353,26 @@
             is_short_prompt,
             sent: now,
             is_prefill_done: false,
+            shared: request.shared().to_vec(),
+        }
+    }
+
+    /// Records the shared segments of a call whose prefill is done as cached, and announces those
+    /// for which this is new.
+    fn record_computed_segments(&mut self, now: Millis, call: &InFlightCall) {
+        let min_tokens = self.settings.announced_min_tokens;
+        let Some(upstream) = self.find_incarnation(&call.name, call.incarnation) else {
+            return;
+        };
+        let hash = upstream.hash;
+        let mut computed = Vec::new();
+        for segment in &call.shared {
+            if upstream.cached.on_computed(now, segment.id) && segment.tokens >= min_tokens {
+                computed.push(segment.id);
+            }
+        }
+        for segment in computed {
+            self.record_cache_notice(now, segment, hash);
         }
     }
 
@@ -382,7 +402,7 @@
     /// Applies a cache notice of another instance; a new one is passed on.
     pub fn on_cache_notice(&mut self, now: Millis, segment: u64, upstream: u32) {
         let known = self.upstreams.iter_mut().find(|u| u.hash == upstream);
-        let is_new = known.is_some_and(|u| u.cached.insert(now, segment));
+        let is_new = known.is_some_and(|u| u.cached.on_computed(now, segment));
         if is_new {
             self.record_cache_notice(now, segment, upstream);
         }
@@ -411,6 +431,7 @@
     pub fn on_first_event(&mut self, now: Millis, call: &mut InFlightCall) {
         if !call.is_prefill_done {
             self.learn_prefill_time(now, call);
+            self.record_computed_segments(now, call);
         }
         self.on_prefill_done(call);
     }
--- a/crates/vanillakeel/tests/chosen_upstreams.rs
+++ b/crates/vanillakeel/tests/chosen_upstreams.rs
@@ -277,7 +277,9 @@
     };
     let before = other.choose(NOW, &again).expect("another");
     assert_eq!(before.prefill_tokens, 15_000);
-    send(&mut sender, NOW, &again);
+    let (_, mut call) = send(&mut sender, NOW, &again);
+    assert_eq!(sender.cache_notices(NOW).count(), 0, "not computed yet");
+    sender.on_first_event(NOW, &mut call);
     for notice in sender.cache_notices(NOW) {
         other.on_cache_notice(NOW, notice.segment, notice.upstream);
     }
