feat: callers of an instance without contact to the log return at once

Change: the wait is zero if other instances are confirmed or if none is heard, so that only this one is cut off; if the hub or all members have lost the log too, it is 1 s. Members tell their hub whether they are confirmed.

--- a/crates/vanillakeel-entry/src/gateway/answer.rs
+++ b/crates/vanillakeel-entry/src/gateway/answer.rs
@@ -81,8 +81,8 @@
     SlowBody,
     /// no routing configuration is known yet
     NoConfiguration,
-    /// the routing configuration may be out of date
-    Stale,
+    /// the routing configuration may be out of date, come back in {0} ms
+    Stale(u64),
     /// no upstream can take the request now
     NoUpstream,
     /// upstreams are full
@@ -110,7 +110,7 @@
             Self::BodyTooLarge => "body_too_large",
             Self::SlowBody => "slow_body",
             Self::NoConfiguration => "no_configuration",
-            Self::Stale => "stale",
+            Self::Stale(_) => "stale",
             Self::NoUpstream => "no_upstream",
             Self::Full => "full",
             Self::Overload(_) => "overload",
@@ -130,7 +130,7 @@
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
             Self::NoConfiguration
-            | Self::Stale
+            | Self::Stale(_)
             | Self::NoUpstream
             | Self::Full
             | Self::Overload(_)
@@ -152,9 +152,9 @@
     /// Returns the time after which the caller may retry, in ms, where a retry can help.
     const fn retry_after_ms(self) -> Option<u64> {
         match self {
-            Self::NoConfiguration | Self::Stale | Self::NoUpstream => Some(300),
+            Self::NoConfiguration | Self::NoUpstream => Some(300),
             Self::Full => Some(100),
-            Self::Overload(ms) => Some(ms),
+            Self::Overload(ms) | Self::Stale(ms) => Some(ms),
             Self::Stopping => Some(0),
             _ => None,
         }
--- a/crates/vanillakeel-entry/src/gateway/peers.rs
+++ b/crates/vanillakeel-entry/src/gateway/peers.rs
@@ -211,6 +211,7 @@
         sent: now.get(),
         loads: Some(loads_to_wire(&shared.fleet.borrow().loads())),
         reads: Some(cache_notices_to_wire(shared, now)),
+        confirmed: shared.in_force.borrow().may_use_keys(now),
     })
 }
 
@@ -279,7 +280,7 @@
                 let mut mesh = shared.mesh.borrow_mut();
                 let is_same_data_centre = mesh.me().data_centre == peer.data_centre;
                 if is_same_data_centre {
-                    mesh.on_report(now, name, loads);
+                    mesh.on_report(now, name, loads, report.confirmed);
                 }
                 is_same_data_centre
             };
@@ -379,7 +380,7 @@
     }
 }
 
-/// Encodes the prompt segments that were recently sent to upstreams.
+/// Encodes the prompt segments that upstreams have recently computed.
 fn cache_notices_to_wire(shared: &Shared, now: Millis) -> MeshReads {
     let mut wire = MeshReads::default();
     for notice in shared.fleet.borrow().cache_notices(now) {
@@ -389,7 +390,7 @@
     wire
 }
 
-/// Records the prompt segments that a peer has recently sent to upstreams.
+/// Records the prompt segments that upstreams have recently computed for a peer.
 fn record_cache_notices(shared: &Shared, now: Millis, wire: Option<&MeshReads>) {
     let Some(wire) = wire else {
         return;
--- a/crates/vanillakeel-entry/src/gateway/request.rs
+++ b/crates/vanillakeel-entry/src/gateway/request.rs
@@ -214,7 +214,8 @@
     let may_deny = shared.in_force.borrow().may_deny(now);
     // A configuration that may be out of date can lack a new route or key, so the caller is asked
     // to retry instead.
-    let deny = |refusal| if may_deny { refusal } else { Refusal::Stale };
+    let stale = || Refusal::Stale(shared.stale_retry_after_ms(now));
+    let deny = |refusal| if may_deny { refusal } else { stale() };
     let host = host_of(&head).ok_or(Refusal::BadHeader)?;
     let route = table
         .find(&host, head.uri.path())
@@ -224,7 +225,7 @@
         Access::Denied => return Err(deny(Refusal::UnknownKey)),
         // The configuration has not been confirmed for so long that the key may have been revoked.
         Access::Granted(_) if !shared.in_force.borrow().may_use_keys(now) => {
-            return Err(Refusal::Stale);
+            return Err(stale());
         }
         Access::Granted(workspace) => Some(workspace),
     };
--- a/crates/vanillakeel-entry/src/gateway/shared.rs
+++ b/crates/vanillakeel-entry/src/gateway/shared.rs
@@ -54,6 +54,10 @@
 /// It covers the time between the check of a key and the moment at which the result is used.
 const FRESHNESS_MARGIN_MS: u64 = 300;
 
+/// Time after which a caller may retry if all instances of the data centre have lost contact with the
+/// log, in ms.
+const ALL_STALE_RETRY_MS: u64 = 1_000;
+
 /// Time for which a hub repeats the change of an upstream to its members, in ms.
 ///
 /// The repetition makes up for lost datagrams.
@@ -179,6 +183,16 @@
         from_mesh.unwrap_or_else(|| self.settings.borrow().retries.instances)
     }
 
+    /// Returns when a caller may retry whom this instance refuses because it has lost contact with the
+    /// log, in ms: at once if other instances can probably serve it, since a retry reaches another one.
+    pub(super) fn stale_retry_after_ms(&self, now: Millis) -> u64 {
+        if self.mesh.borrow().are_others_confirmed(now) {
+            0
+        } else {
+            ALL_STALE_RETRY_MS
+        }
+    }
+
     /// Adds or updates an upstream that discovery shows; returns whether anything has changed.
     pub(super) fn on_listed(&self, listed: &ListedUpstream) -> bool {
         let has_changed = self.fleet.borrow_mut().on_listed(listed);
--- a/crates/vanillakeel-wire/src/generated.rs
+++ b/crates/vanillakeel-wire/src/generated.rs
@@ -256,8 +256,11 @@
     pub loads: ::core::option::Option<MeshLoads>,
     #[prost(message, optional, tag = "3")]
     pub reads: ::core::option::Option<MeshReads>,
+    /// Whether the member can accept keys, because its configuration was confirmed recently.
+    #[prost(bool, tag = "4")]
+    pub confirmed: bool,
 }
-/// Prompt segments that were recently sent for prefill; lists of equal length.
+/// Prompt segments that upstreams have recently computed; lists of equal length.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct MeshReads {
     /// IDs of the segments.
--- a/crates/vanillakeel/src/mesh/state.rs
+++ b/crates/vanillakeel/src/mesh/state.rs
@@ -83,6 +83,15 @@
     pub instances: u32,
 }
 
+/// The last report of a member.
+#[derive(Clone, Debug)]
+struct MemberReport {
+    received: Millis,
+    loads: Loads,
+    /// Whether the member can accept keys.
+    is_confirmed: bool,
+}
+
 #[derive(Clone, Debug)]
 struct KnownPeer {
     peer: Peer,
@@ -90,8 +99,7 @@
     unanswered_since: Option<Millis>,
     backoff_until: Millis,
     timeouts: u32,
-    /// The last report, with the time at which it arrived.
-    report: Option<(Millis, Loads)>,
+    report: Option<MemberReport>,
 }
 
 impl KnownPeer {
@@ -222,7 +230,7 @@
     }
 
     fn is_report_fresh(&self, now: Millis, known: &KnownPeer) -> bool {
-        let received = known.report.as_ref().map(|r| r.0);
+        let received = known.report.as_ref().map(|r| r.received);
         received.is_some_and(|t| now.since(t) < self.settings.report_ttl_ms)
     }
 
@@ -269,10 +277,14 @@
         }
     }
 
-    /// Stores the load report of a member.
-    pub fn on_report(&mut self, now: Millis, name: &str, loads: Loads) {
+    /// Stores the report of a member: its load, and whether it can accept keys.
+    pub fn on_report(&mut self, now: Millis, name: &str, loads: Loads, is_confirmed: bool) {
         if let Ok(at) = self.find(name) {
-            self.peers[at].report = Some((now, loads));
+            self.peers[at].report = Some(MemberReport {
+                received: now,
+                loads,
+                is_confirmed,
+            });
         }
     }
 
@@ -317,6 +329,28 @@
             })
     }
 
+    /// Returns whether other instances of the data centre can probably accept keys while this one
+    /// can't, because it has lost contact with the log.
+    ///
+    /// If no instance is heard, this one is cut off from the others, which are taken to be well. If
+    /// the hub or all members have lost contact too, the data centre is cut off or the log is down.
+    #[must_use]
+    pub fn are_others_confirmed(&self, now: Millis) -> bool {
+        let is_recent = |received| now.since(received) < self.settings.report_ttl_ms;
+        let summary = self.summary.filter(|(received, _)| is_recent(*received));
+        let mut heard = summary.map(|(_, s)| s.is_fresh).into_iter().chain(
+            self.peers
+                .iter()
+                .filter_map(|k| k.report.as_ref())
+                .filter(|r| is_recent(r.received))
+                .map(|r| r.is_confirmed),
+        );
+        match heard.next() {
+            None => true,
+            Some(first) => first || heard.any(|is_confirmed| is_confirmed),
+        }
+    }
+
     /// Returns the load of the own data centre without the member `excluded`, and the number of
     /// instances there, which includes that member.
     #[must_use]
@@ -324,8 +358,8 @@
         let mut loads = own.clone();
         let reporting = self.peers.iter().filter(|k| self.is_report_fresh(now, k));
         for known in reporting.filter(|k| *k.peer.name != *excluded) {
-            if let Some((_, report)) = &known.report {
-                loads.merge(report);
+            if let Some(report) = &known.report {
+                loads.merge(&report.loads);
             }
         }
         (loads, self.reporting_members(now) + 1)
--- a/crates/vanillakeel/tests/mesh_hubs.rs
+++ b/crates/vanillakeel/tests/mesh_hubs.rs
@@ -1,5 +1,6 @@
 //! Election of hubs, the load that is counted, and when an instance has to read the log itself.
 
+use rstest::rstest;
 use std::sync::Arc;
 use vanillakeel::{
     Millis,
@@ -104,8 +105,8 @@
 #[test]
 fn member_not_counted_twice() {
     let mut mesh = mesh("a1");
-    mesh.on_report(NOW, "b1", loads(2));
-    mesh.on_report(NOW, "c1", loads(3));
+    mesh.on_report(NOW, "b1", loads(2), true);
+    mesh.on_report(NOW, "c1", loads(3), true);
     mesh.on_exchange(NOW, "a2", "2", loads(5), 4);
     let (own, instances) = mesh.own_data_centre(NOW, &loads(1), "b1");
     assert_eq!((calls(&own), instances), (1 + 3, 3));
@@ -152,7 +153,7 @@
 #[test]
 fn partitioned_instance() {
     let mut mesh = mesh("a1");
-    mesh.on_report(NOW, "b1", loads(2));
+    mesh.on_report(NOW, "b1", loads(2), true);
     mesh.on_exchange(NOW, "a2", "2", loads(5), 6);
     let factor = |mesh: &mut Mesh, ms| mesh.extrapolation_factor(NOW.plus(ms)).round() as u32;
     assert_eq!(factor(&mut mesh, 0), 1);
@@ -182,3 +183,32 @@
     assert_eq!(hub_name(&mesh, NOW), "a1");
     assert!(mesh.is_hub(NOW));
 }
+
+/// Guards against callers who wait although another instance could serve them at once, and against
+/// callers who come back at once to a data centre that is cut off as a whole.
+#[rstest]
+#[case::isolated(&[], None, true)]
+#[case::member_with_contact(&[("b1", false), ("c1", true)], None, true)]
+#[case::members_without(&[("b1", false), ("c1", false)], None, false)]
+#[case::hub_with_contact(&[], Some(true), true)]
+#[case::hub_without(&[], Some(false), false)]
+fn lost_contact(
+    #[case] reports: &[(&str, bool)],
+    #[case] hub_is_fresh: Option<bool>,
+    #[case] expected: bool,
+) {
+    let mut mesh = mesh("a1");
+    for (name, is_confirmed) in reports {
+        mesh.on_report(NOW, name, loads(1), *is_confirmed);
+    }
+    if let Some(is_fresh) = hub_is_fresh {
+        let summary = Summary {
+            is_fresh,
+            instances: 8,
+        };
+        mesh.on_summary(NOW, "b1", summary);
+    }
+    assert_eq!(mesh.are_others_confirmed(NOW), expected);
+    // What was heard long ago says nothing.
+    assert!(mesh.are_others_confirmed(NOW.plus(1_500)));
+}
