feat: reserve fewer upstreams for short prompts while long ones queue

Cause: in a burst of briefs on the grown deployment a third of them is refused, while the upstreams reserved for short prompts are half empty: their number follows the short calls in flight alone.

Change: the share of slots that short prompts may fill there rises from 0.5 to 0.8 where the mean queue of prefill, smoothed over about a second and extrapolated like the calls, shows that long prompts need more upstreams.

--- a/crates/vanillakeel/src/fleet/choose.rs
+++ b/crates/vanillakeel/src/fleet/choose.rs
@@ -150,8 +150,9 @@
     /// Returns how many upstreams are reserved for short prompts, or zero if there are no groups.
     ///
     /// There are enough of them that the short-prompt calls in flight take only a share of their
-    /// slots, `Settings::short_prompt_occupancy`, but at most `Settings::max_short_prompt_share` of
-    /// all.
+    /// slots, `Settings::short_prompt_occupancy`. Where queues of prefill show that long prompts need
+    /// more upstreams, that share rises up to `Settings::max_short_prompt_occupancy`. At most
+    /// `Settings::max_short_prompt_share` of all are reserved.
     fn short_prompt_group_size(&self, request: &RequestInfo<'_>, all: &[&Upstream]) -> usize {
         let cfg = self.settings();
         let short_prompt_calls = self.total_short_prompt_calls();
@@ -163,7 +164,11 @@
         }
         let mean_slots =
             all.iter().map(|u| f64::from(u.listed.slots)).sum::<f64>() / all.len() as f64;
-        let wanted = short_prompt_calls / (mean_slots * cfg.short_prompt_occupancy).max(1.0);
+        let size_at = |occupancy: f64| short_prompt_calls / (mean_slots * occupancy).max(1.0);
+        let left = all.len() as f64 - self.needed_by_prefill(all);
+        let wanted = size_at(cfg.short_prompt_occupancy)
+            .min(left)
+            .max(size_at(cfg.max_short_prompt_occupancy));
         // Geometric steps keep the groups equal at all instances although their views differ
         // slightly.
         let step = (wanted.max(1.0).ln() / GROUP_SIZE_STEP.ln()).ceil();
@@ -174,6 +179,14 @@
             .clamp(1.0, max_size.max(1.0)) as usize
     }
 
+    /// Returns how many upstreams the queued prefill needs, nearly all of which is that of long
+    /// prompts.
+    fn needed_by_prefill(&self, all: &[&Upstream]) -> f64 {
+        let reported: f64 = all.iter().map(|u| u.mean_prefill_tokens).sum();
+        let queued_tokens = reported * self.extrapolation_factor();
+        queued_tokens * self.prefill_ms_per_token() / self.settings().queued_prefill_ms
+    }
+
     /// Sorts a group by rendezvous weight for the shared prefix, which gives the same order at all
     /// instances; for a request without a shared prefix the order is random.
     fn rendezvous_order<'a>(
--- a/crates/vanillakeel/src/fleet/state.rs
+++ b/crates/vanillakeel/src/fleet/state.rs
@@ -48,6 +48,11 @@
     /// Share of their slots that short-prompt calls should occupy at the upstreams reserved for
     /// them.
     pub short_prompt_occupancy: f64,
+    /// The same share while long prompts need more than the other upstreams.
+    pub max_short_prompt_occupancy: f64,
+    /// Mean time of the queued prefill at an upstream above which long prompts need more of them, in
+    /// ms.
+    pub queued_prefill_ms: f64,
     /// Longest wait for which a request is admitted, in multiples of its own target.
     pub own_target_factor: f64,
     /// Longest wait for which a request with a long prompt is admitted, in multiples of the
@@ -85,6 +90,8 @@
             fetch_weight: 0.25,
             short_prompt_max_tokens: 4_096,
             short_prompt_occupancy: 0.5,
+            max_short_prompt_occupancy: 0.8,
+            queued_prefill_ms: 200.0,
             own_target_factor: 2.0,
             announced_min_tokens: 64,
             urgent_target_factor: 1.0,
@@ -290,6 +297,7 @@
                 upstream.remote.calls[rank] += load.calls;
                 upstream.remote.prefill_tokens[rank] += load.prefill_tokens;
             }
+            upstream.record_queue();
         }
     }
 
@@ -322,7 +330,11 @@
             * self.extrapolation_factor
     }
 
-    /// Sets the factor for extrapolating the short-prompt calls: the number of live instances per
+    pub(super) const fn extrapolation_factor(&self) -> f64 {
+        self.extrapolation_factor
+    }
+
+    /// Sets the factor for extrapolating the load: the number of live instances per
     /// instance whose load is known.
     pub const fn set_extrapolation_factor(&mut self, factor: f64) {
         self.extrapolation_factor = factor;
--- a/crates/vanillakeel/src/fleet/upstream.rs
+++ b/crates/vanillakeel/src/fleet/upstream.rs
@@ -83,6 +83,9 @@
 /// Weight of a new sample in the moving average (EWMA) of the call duration.
 const CALL_EWMA_WEIGHT: f64 = 0.1;
 
+/// Weight of a new sample in the moving average (EWMA) of the tokens awaiting prefill.
+const QUEUE_EWMA_WEIGHT: f64 = 0.1;
+
 /// Assumed duration of a call before one was measured, in ms.
 const INITIAL_CALL_MS: f64 = 1_000.0;
 
@@ -96,6 +99,8 @@
     pub(super) remote: RankLoad,
     /// Moving average of the call duration, in ms.
     pub(super) mean_call_ms: f64,
+    /// Moving average of the tokens awaiting prefill, of all instances.
+    pub(super) mean_prefill_tokens: f64,
     pub(super) cached: CachedSegments,
     pub(super) health: Health,
     pub(super) consecutive_failures: u32,
@@ -109,6 +114,7 @@
             load: RankLoad::default(),
             remote: RankLoad::default(),
             mean_call_ms: INITIAL_CALL_MS,
+            mean_prefill_tokens: 0.0,
             cached: CachedSegments::default(),
             health: Health::default(),
             consecutive_failures: 0,
@@ -131,6 +137,12 @@
         self.mean_call_ms += CALL_EWMA_WEIGHT * (ms as f64 - self.mean_call_ms);
     }
 
+    /// Adds the tokens that now await prefill to their moving average.
+    pub(super) fn record_queue(&mut self) {
+        let tokens = self.prefill_tokens_up_to(RANK_COUNT - 1) as f64;
+        self.mean_prefill_tokens += QUEUE_EWMA_WEIGHT * (tokens - self.mean_prefill_tokens);
+    }
+
     pub(super) fn is_live(&self) -> bool {
         self.listed.state == State::Live
     }
