feat: name a source of cached segments with each request

Cause: an upstream may have evicted what the directory says it holds, and the prefix is then computed again although another one still has it. An engine fetches only what it lacks, so naming a source costs nothing.

--- a/crates/vanillakeel/src/fleet/cache_source.rs
+++ b/crates/vanillakeel/src/fleet/cache_source.rs
@@ -17,7 +17,13 @@
 
 impl Fleet {
     /// Returns the upstream that is known to have most of the request's shared prefix cached.
-    pub(super) fn cache_source(&self, request: &RequestInfo<'_>) -> Option<CacheSource> {
+    ///
+    /// `chosen` is left out: an upstream does not fetch from itself.
+    pub(super) fn cache_source(
+        &self,
+        request: &RequestInfo<'_>,
+        chosen: Option<&str>,
+    ) -> Option<CacheSource> {
         let min_tokens = self.settings().min_fetched_tokens;
         if request.shared_tokens() < min_tokens {
             return None;
@@ -25,6 +31,7 @@
         self.of_service(request.service)
             .filter(|u| u.is_live() && !u.health.is_ejected())
             .filter(|u| !request.tried.contains(&u.listed.name))
+            .filter(|u| Some(&*u.listed.name) != chosen)
             .map(|u| (u.cached.computed_prefix(request.shared()), u))
             .filter(|(prefix, _)| prefix.tokens >= min_tokens)
             .max_by_key(|(prefix, _)| (prefix.tokens, prefix.last_use))
--- a/crates/vanillakeel/src/fleet/choose.rs
+++ b/crates/vanillakeel/src/fleet/choose.rs
@@ -56,13 +56,10 @@
     cached_tokens: u32,
     /// Shared prompt tokens that are fetched from another upstream.
     fetched_tokens: u32,
-    /// Whether the cache source is known to have segments that this upstream is not known to have.
-    lacks_segments: bool,
     cost: f64,
 }
 
 impl Candidate<'_> {
-    /// Returns the pick, with `cache_source` if it is worth a transfer.
     fn pick(&self, cache_source: Option<CacheSource>) -> Pick {
         let listed = &self.upstream.listed;
         Pick {
@@ -72,7 +69,7 @@
             prefill_tokens: self.prefill_tokens,
             cached_tokens: self.cached_tokens,
             fetched_tokens: self.fetched_tokens,
-            cache_source: cache_source.filter(|_| self.lacks_segments),
+            cache_source,
             tokens_ahead: self.tokens_ahead,
             wait_ms: self.wait_ms as u64,
         }
@@ -89,22 +86,30 @@
         let random = self.next_random();
         let group = self.eligible_group(now, request);
         let ordered = Self::rendezvous_order(request, &group, random);
-        let source = self.cache_source(request);
+        let source = self.cache_source(request, None);
         let free_wait_limit = self.free_wait_limit_ms(request, &group);
         self.cheapest_until_free(request, &ordered, source.as_ref(), free_wait_limit)
-            .map(|best| best.pick(source.clone()))
+            .map(|best| self.pick(request, &best))
     }
 
     /// Returns the upstream with the shortest wait, whether or not it has the prompt cached.
     pub(super) fn shortest_wait(&self, now: Millis, request: &RequestInfo<'_>) -> Option<Pick> {
         let group = self.eligible_group(now, request);
-        let source = self.cache_source(request);
+        let source = self.cache_source(request, None);
         let candidates = group
             .iter()
             .map(|u| self.candidate(request, u, source.as_ref(), NOT_PREFERRED));
         candidates
             .min_by(|a, b| a.wait_ms.total_cmp(&b.wait_ms))
-            .map(|best| best.pick(source.clone()))
+            .map(|best| self.pick(request, &best))
+    }
+
+    /// Returns the pick of a candidate, with the source from which it fetches what it lacks.
+    ///
+    /// A source is named even if the upstream is believed to have all segments, since it may have
+    /// evicted them; it fetches only what it lacks.
+    fn pick(&self, request: &RequestInfo<'_>, best: &Candidate<'_>) -> Pick {
+        best.pick(self.cache_source(request, Some(&best.upstream.listed.name)))
     }
 
     /// Returns whether the prompt of a request counts as short.
@@ -246,14 +251,9 @@
     ) -> Candidate<'a> {
         let cfg = self.settings();
         let cached_tokens = Self::cached_tokens(request, upstream, position);
-        let computed_tokens = upstream.cached.computed_prefix(request.shared()).tokens;
-        let fetchable = |here: u32| {
-            source
-                .filter(|s| s.name != upstream.listed.name)
-                .map_or(0, |s| s.cached_tokens.saturating_sub(here))
-        };
-        let fetched_tokens = fetchable(cached_tokens);
-        let lacks_segments = fetchable(computed_tokens) >= cfg.min_fetched_tokens;
+        let fetched_tokens = source
+            .filter(|s| s.name != upstream.listed.name)
+            .map_or(0, |s| s.cached_tokens.saturating_sub(cached_tokens));
         let available_tokens = cached_tokens + fetched_tokens;
         let recomputed_tokens = request.shared_tokens().saturating_sub(available_tokens);
         let prefill_tokens = request.prompt_tokens.saturating_sub(available_tokens);
@@ -268,7 +268,6 @@
             prefill_tokens,
             cached_tokens,
             fetched_tokens,
-            lacks_segments,
             cost: wait_ms
                 + priced_tokens * self.prefill_ms_per_token() * cfg.recompute_weight
                 + if is_other_data_centre {
--- a/crates/vanillakeel/tests/cache_transfers.rs
+++ b/crates/vanillakeel/tests/cache_transfers.rs
@@ -196,6 +196,28 @@
     assert!((1..=20).contains(&moved), "{moved} of 60 prefixes moved");
 }
 
+/// Guards against a prefix that is computed again where it was evicted without the instance knowing,
+/// while another upstream still has it: the other one is named even so.
+#[test]
+fn second_holder_named() {
+    let mut fleet = fleet(9);
+    let first = segments(7, 70);
+    let preferred = compute(&mut fleet, &request(&first));
+    let second = segments(7, 71);
+    let tried = [Arc::clone(&preferred.name)];
+    let copy = choose_without(&mut fleet, &second, &tried);
+    let mut call = fleet.on_send(NOW, &copy, &request(&second));
+    fleet.on_first_event(NOW, &mut call);
+    fleet.on_end(NOW, call, CallOutcome::Success);
+    let third = segments(7, 72);
+    let pick = fleet.choose(NOW, &request(&third)).expect("an upstream");
+    assert_eq!(pick.name, preferred.name);
+    assert_eq!(
+        (source_name(&pick), pick.fetched_tokens),
+        (Some(&*copy.name), 0)
+    );
+}
+
 /// Guards against notices that arrive at other instances before there is anything to fetch, and
 /// against instances that don't learn of a copy.
 #[test]
