refactor: fleet parts below those that use them

Cause: choice, admission and state of the fleet imported each other, and choose.rs and state.rs held what other parts need.

Change: the targets of long prompts, the groups for short prompts and the notices have modules of their own, and neither admission nor choice is imported by the state any more.

--- a/crates/vanillakeel/src/fleet.rs
+++ b/crates/vanillakeel/src/fleet.rs
@@ -5,8 +5,8 @@
 //!
 //! A [`Fleet`] holds the discovered upstreams of all services by name and incarnation.
 //! [`Fleet::choose`] picks the one with the lowest cost among those that it [visits](choose). The
-//! cost adds up the expected wait there, the prefill of shared prompt tokens that it does not have
-//! cached, and a surcharge for another data centre.
+//! cost adds up the expected wait there, the prefill or transfer of shared prompt tokens that it does
+//! not have cached, and a surcharge for another data centre.
 //! [`Fleet::admit`] sheds load before a send. [`Fleet::on_send`], [`Fleet::on_first_event`] and
 //! [`Fleet::on_end`] report the progress of a call.
 //!
@@ -21,15 +21,19 @@
 //! ```
 
 mod admit;
-mod cache_source;
+pub mod cache_source;
 mod cached;
 pub mod choose;
+pub mod groups;
+mod notices;
 mod request;
 mod state;
+mod targets;
 mod upstream;
 
 pub(crate) use self::upstream::RANK_COUNT;
 pub use self::{
+    notices::CacheNotice,
     request::{
         CacheSource,
         Pick,
@@ -37,7 +41,6 @@
         RequestInfo, //
     },
     state::{
-        CacheNotice,
         Fleet,
         InFlightCall,
         Settings, //
--- a/crates/vanillakeel/src/fleet/cache_source.rs
+++ b/crates/vanillakeel/src/fleet/cache_source.rs
@@ -1,10 +1,10 @@
 //! The upstream from whose cache another one fetches the shared segments of a prompt.
 //!
-//! A transfer between engines takes less time than the prefill that it saves. When a request goes
-//! to an upstream that probably lacks its shared prefix, [`Fleet::cache_source`] names another one
-//! that probably has it: the one with the longest known part and, among equals, the most recently
-//! used one, since engines evict what is least recently used. Upstreams that leave or are ejected
-//! are not named, because a transfer from them may fail after some delay.
+//! A transfer between engines takes less time than the prefill that it saves. Each request with a
+//! shared prefix therefore names another upstream that probably has it: the one with the longest part
+//! and, among equals, the most recently used one, since engines evict what is least recently used.
+//! The chosen upstream fetches only what it lacks. Upstreams that leave or are ejected are not named,
+//! because a transfer from them may fail after some delay.
 
 use super::{
     request::{
@@ -16,9 +16,8 @@
 use std::sync::Arc;
 
 impl Fleet {
-    /// Returns the upstream that is known to have most of the request's shared prefix cached.
-    ///
-    /// `chosen` is left out: an upstream does not fetch from itself.
+    /// Returns the upstream that is known to have most of the request's shared prefix cached, other
+    /// than `chosen`.
     pub(super) fn cache_source(
         &self,
         request: &RequestInfo<'_>,
--- a/crates/vanillakeel/src/fleet/state.rs
+++ b/crates/vanillakeel/src/fleet/state.rs
@@ -1,12 +1,16 @@
 //! The known upstreams and the load on them.
 
 use super::{
-    admit::RecentTargets,
+    notices::{
+        CacheNotice,
+        RecentNotices, //
+    },
     request::{
         Pick,
         PromptSegment,
         RequestInfo, //
     },
+    targets::RecentTargets,
     upstream::{
         CallOutcome,
         ListedUpstream,
@@ -147,24 +151,9 @@
     /// Learnt prefill time per token, in ms.
     prefill_ms_per_token: f64,
     targets: RecentTargets,
-    /// Recent cache notices, both those of this instance and new ones received from others.
-    cache_notices: Vec<CacheNotice>,
-}
-
-/// Notice that an upstream has computed a shared prompt segment that it did not have cached.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct CacheNotice {
-    at: Millis,
-    /// Id of the segment, see [`PromptSegment::id`](super::PromptSegment::id).
-    pub segment: u64,
-    /// Hash of the upstream's name.
-    pub upstream: u32,
+    cache_notices: RecentNotices,
 }
 
-/// Time for which a cache notice is repeated to other instances, in ms; repetition covers lost
-/// datagrams.
-const CACHE_NOTICE_TTL_MS: u64 = 450;
-
 impl Fleet {
     /// Creates an empty fleet; `seed` starts its pseudorandom sequence.
     #[must_use]
@@ -178,7 +167,7 @@
             remote_short_prompt_calls: 0,
             extrapolation_factor: 1.0,
             targets: RecentTargets::EMPTY,
-            cache_notices: Vec::new(),
+            cache_notices: RecentNotices::new(),
         }
     }
 
@@ -211,6 +200,10 @@
             .binary_search_by(|u| (*u.listed.name).cmp(name))
     }
 
+    fn find_hash(&mut self, hash: u32) -> Option<&mut Upstream> {
+        self.upstreams.iter_mut().find(|u| u.hash == hash)
+    }
+
     fn find_incarnation(&mut self, name: &str, incarnation: u64) -> Option<&mut Upstream> {
         let at = self.find(name).ok()?;
         let upstream = &mut self.upstreams[at];
@@ -384,39 +377,21 @@
             }
         }
         for segment in computed {
-            self.record_cache_notice(now, segment, hash);
-        }
-    }
-
-    fn record_cache_notice(&mut self, now: Millis, segment: u64, upstream: u32) {
-        self.cache_notices
-            .retain(|n| now.since(n.at) <= CACHE_NOTICE_TTL_MS);
-        let is_known = self
-            .cache_notices
-            .iter()
-            .any(|n| n.segment == segment && n.upstream == upstream);
-        if !is_known {
-            self.cache_notices.push(CacheNotice {
-                at: now,
-                segment,
-                upstream,
-            });
+            self.cache_notices.record(now, segment, hash);
         }
     }
 
     /// Returns the recent cache notices, for other instances.
     pub fn cache_notices(&self, now: Millis) -> impl Iterator<Item = &CacheNotice> {
-        self.cache_notices
-            .iter()
-            .filter(move |n| now.since(n.at) <= CACHE_NOTICE_TTL_MS)
+        self.cache_notices.iter(now)
     }
 
     /// Applies a cache notice of another instance; a new one is passed on.
     pub fn on_cache_notice(&mut self, now: Millis, segment: u64, upstream: u32) {
-        let known = self.upstreams.iter_mut().find(|u| u.hash == upstream);
+        let known = self.find_hash(upstream);
         let is_new = known.is_some_and(|u| u.cached.on_computed(now, segment));
         if is_new {
-            self.record_cache_notice(now, segment, upstream);
+            self.cache_notices.record(now, segment, upstream);
         }
     }
 
