--- a/crates/vanillakeel/tests/cache_transfers.rs
+++ b/crates/vanillakeel/tests/cache_transfers.rs
@@ -4,6 +4,13 @@
 //! The load behind these tests: a burst of long prompts with a few hundred shared prefixes overflows
 //! from the preferred upstreams to others, each of which would compute the prefixes again.
 
+mod fleets;
+
+use fleets::{
+    fleet,
+    listed,
+    ranked_request, //
+};
 use std::sync::Arc;
 use vanillakeel::{
     Millis,
@@ -13,8 +20,7 @@
         ListedUpstream,
         Pick,
         PromptSegment,
-        RequestInfo,
-        Settings, //
+        RequestInfo, //
     },
     membership::State,
 };
@@ -24,23 +30,6 @@
 /// Length of the shared prefix of each request, in tokens.
 const SHARED_TOKENS: u32 = 5_000;
 
-fn listed(at: usize) -> ListedUpstream {
-    ListedUpstream {
-        name: Arc::from(format!("runner-{at}")),
-        service: Arc::from("deeds"),
-        slots: 48,
-        ..ListedUpstream::default()
-    }
-}
-
-fn fleet(upstreams: usize) -> Fleet {
-    let mut fleet = Fleet::new(Settings::default(), 1);
-    for at in 0..upstreams {
-        fleet.on_listed(&listed(at));
-    }
-    fleet
-}
-
 fn segments(prefix: u64, own: u64) -> [PromptSegment; 2] {
     let shared = PromptSegment {
         id: prefix,
@@ -54,14 +43,7 @@
 }
 
 fn request(segments: &[PromptSegment]) -> RequestInfo<'_> {
-    RequestInfo {
-        service: "deeds",
-        segments,
-        prompt_tokens: segments.iter().map(|s| s.tokens).sum(),
-        rank: 2,
-        target_ms: 2_000,
-        tried: &[],
-    }
+    ranked_request(segments, 2, 2_000)
 }
 
 /// Computes the prefix of a request at the upstream that the fleet chooses.
@@ -102,7 +84,7 @@
 /// Guards against a prefix that is computed again at each upstream to which requests overflow.
 #[test]
 fn overflow_fetches() {
-    let mut fleet = fleet(9);
+    let mut fleet = fleet(9, 1);
     let first = segments(7, 70);
     let preferred = compute(&mut fleet, &request(&first));
     assert_eq!(preferred.cache_source, None);
@@ -117,7 +99,7 @@
 /// Guards against a transfer of a prefix whose prefill is not done: there would be nothing to fetch.
 #[test]
 fn pending_prefill() {
-    let mut fleet = fleet(9);
+    let mut fleet = fleet(9, 1);
     let first = segments(7, 70);
     let preferred = fleet.choose(NOW, &request(&first)).expect("an upstream");
     let mut call = fleet.on_send(NOW, &preferred, &request(&first));
@@ -138,7 +120,7 @@
 /// Guards against a transfer that waits for an upstream which leaves, crashed or starts anew.
 #[test]
 fn lost_source() {
-    let mut fleet = fleet(9);
+    let mut fleet = fleet(9, 1);
     let first = segments(7, 70);
     let source = compute(&mut fleet, &request(&first));
     fill(&mut fleet, &source);
@@ -177,7 +159,7 @@
 /// now the preferred one of some of them.
 #[test]
 fn added_upstream_fetches() {
-    let mut fleet = fleet(9);
+    let mut fleet = fleet(9, 1);
     let holders: Vec<_> = (0..60)
         .map(|prefix| compute(&mut fleet, &request(&segments(prefix, 1_000 + prefix))).name)
         .collect();
@@ -200,7 +182,7 @@
 /// while another upstream still has it: the other one is named even so.
 #[test]
 fn second_holder_named() {
-    let mut fleet = fleet(9);
+    let mut fleet = fleet(9, 1);
     let first = segments(7, 70);
     let preferred = compute(&mut fleet, &request(&first));
     let second = segments(7, 71);
@@ -222,8 +204,8 @@
 /// against instances that don't learn of a copy.
 #[test]
 fn peers_learn_copies() {
-    let mut sender = fleet(9);
-    let mut other = fleet(9);
+    let mut sender = fleet(9, 1);
+    let mut other = fleet(9, 1);
     let prefix = segments(7, 70);
     let preferred = sender.choose(NOW, &request(&prefix)).expect("an upstream");
     let mut call = sender.on_send(NOW, &preferred, &request(&prefix));
--- a/crates/vanillakeel/tests/chosen_upstreams.rs
+++ b/crates/vanillakeel/tests/chosen_upstreams.rs
@@ -1,7 +1,13 @@
 //! The choice of upstreams for pass-through requests under typical production loads.
 
+mod fleets;
+
+use fleets::{
+    fleet,
+    listed,
+    ranked_request, //
+};
 use rstest::rstest;
-use std::sync::Arc;
 use vanillakeel::{
     Millis,
     fleet::{
@@ -11,32 +17,13 @@
         ListedUpstream,
         Pick,
         PromptSegment,
-        RequestInfo,
-        Settings, //
+        RequestInfo, //
     },
     membership::State,
 };
 
 const NOW: Millis = Millis::new(100_000);
 
-fn listed(at: usize) -> ListedUpstream {
-    ListedUpstream {
-        name: Arc::from(format!("runner-{at}")),
-        service: Arc::from("deeds"),
-        slots: 48,
-        ..ListedUpstream::default()
-    }
-}
-
-/// Returns the fleet as one of several instances sees it; the seed tells the instances apart.
-fn fleet(upstreams: usize, seed: u64) -> Fleet {
-    let mut fleet = Fleet::new(Settings::default(), seed);
-    for at in 0..upstreams {
-        fleet.on_listed(&listed(at));
-    }
-    fleet
-}
-
 fn long_prompt(prefix: u64, own: u64) -> [PromptSegment; 2] {
     let shared = PromptSegment {
         id: prefix,
@@ -52,14 +39,7 @@
 }
 
 fn request(segments: &[PromptSegment]) -> RequestInfo<'_> {
-    RequestInfo {
-        service: "deeds",
-        segments,
-        prompt_tokens: segments.iter().map(|s| s.tokens).sum(),
-        rank: 2,
-        target_ms: 2_000,
-        tried: &[],
-    }
+    ranked_request(segments, 2, 2_000)
 }
 
 fn send(fleet: &mut Fleet, now: Millis, request: &RequestInfo<'_>) -> (Pick, InFlightCall) {
--- a/crates/vanillakeel/tests/long_prompt_bursts.rs
+++ b/crates/vanillakeel/tests/long_prompt_bursts.rs
@@ -4,19 +4,20 @@
 //! for long prompts have to refuse a third of them, while those reserved for short prompts are half
 //! empty.
 
-use rstest::rstest;
-use std::{
-    collections::BTreeSet,
-    sync::Arc, //
+mod fleets;
+
+use fleets::{
+    fleet,
+    listed,
+    ranked_request, //
 };
+use rstest::rstest;
+use std::collections::BTreeSet;
 use vanillakeel::{
     Millis,
     fleet::{
         Fleet,
-        ListedUpstream,
-        PromptSegment,
-        RequestInfo,
-        Settings, //
+        PromptSegment, //
     },
     mesh::{
         Load,
@@ -35,29 +36,12 @@
 /// Reports after which moving averages have settled.
 const REPORTS: u32 = 60;
 
-fn name(at: usize) -> String {
-    format!("runner-{at}")
-}
-
-fn fleet() -> Fleet {
-    let mut fleet = Fleet::new(Settings::default(), 1);
-    for at in 0..UPSTREAMS {
-        fleet.on_listed(&ListedUpstream {
-            name: Arc::from(name(at)),
-            service: Arc::from("deeds"),
-            slots: 48,
-            ..ListedUpstream::default()
-        });
-    }
-    fleet
-}
-
 /// Returns the load of other instances: short prompts, and queued prefill at each upstream.
 fn remote_load(short_prompt_calls: u32, queued_tokens: u64) -> Loads {
     let mut loads = Loads::with_short_prompt_calls(short_prompt_calls);
     for at in 0..UPSTREAMS {
         loads.add(Load {
-            upstream: order::hash(&name(at)) as u32,
+            upstream: order::hash(&listed(at).name) as u32,
             rank: 2,
             calls: 4,
             prefill_tokens: queued_tokens,
@@ -78,14 +62,8 @@
             id: 9_000 + prefix,
             tokens: 2_000,
         };
-        let request = RequestInfo {
-            service: "deeds",
-            segments: &[shared, own],
-            prompt_tokens: 10_000,
-            rank: 2,
-            target_ms: 2_000,
-            ..RequestInfo::default()
-        };
+        let segments = [shared, own];
+        let request = ranked_request(&segments, 2, 2_000);
         let pick = fleet.choose(NOW, &request).expect("an upstream");
         used.insert(pick.name);
     }
@@ -102,7 +80,7 @@
 #[case::short_queues(3_000, 12)]
 #[case::long_queues(20_000, 7)]
 fn room_for_long_prompts(#[case] queued_tokens: u64, #[case] expected: usize) {
-    let mut fleet = fleet();
+    let mut fleet = fleet(UPSTREAMS, 1);
     for _ in 0..REPORTS {
         fleet.set_remote(&remote_load(SHORT_PROMPT_CALLS, queued_tokens));
     }
@@ -113,7 +91,7 @@
 /// nothing.
 #[test]
 fn single_report() {
-    let mut fleet = fleet();
+    let mut fleet = fleet(UPSTREAMS, 1);
     for _ in 0..REPORTS {
         fleet.set_remote(&remote_load(SHORT_PROMPT_CALLS, 0));
     }
@@ -125,7 +103,7 @@
 /// sees only a part of the load.
 #[test]
 fn partial_view() {
-    let mut fleet = fleet();
+    let mut fleet = fleet(UPSTREAMS, 1);
     for _ in 0..REPORTS {
         fleet.set_remote(&remote_load(SHORT_PROMPT_CALLS / 4, 5_000));
     }
--- a/crates/vanillakeel/tests/mesh_hubs.rs
+++ b/crates/vanillakeel/tests/mesh_hubs.rs
@@ -1,6 +1,5 @@
 //! Election of hubs, the load that is counted, and when an instance has to read the log itself.
 
-use rstest::rstest;
 use std::sync::Arc;
 use vanillakeel::{
     Millis,
@@ -183,32 +182,3 @@
     assert_eq!(hub_name(&mesh, NOW), "a1");
     assert!(mesh.is_hub(NOW));
 }
-
-/// Guards against callers who wait although another instance could serve them at once, and against
-/// callers who come back at once to a data centre that is cut off as a whole.
-#[rstest]
-#[case::isolated(&[], None, true)]
-#[case::member_with_contact(&[("b1", false), ("c1", true)], None, true)]
-#[case::members_without(&[("b1", false), ("c1", false)], None, false)]
-#[case::hub_with_contact(&[], Some(true), true)]
-#[case::hub_without(&[], Some(false), false)]
-fn lost_contact(
-    #[case] reports: &[(&str, bool)],
-    #[case] hub_is_fresh: Option<bool>,
-    #[case] expected: bool,
-) {
-    let mut mesh = mesh("a1");
-    for (name, is_confirmed) in reports {
-        mesh.on_report(NOW, name, loads(1), *is_confirmed);
-    }
-    if let Some(is_fresh) = hub_is_fresh {
-        let summary = Summary {
-            is_fresh,
-            instances: 8,
-        };
-        mesh.on_summary(NOW, "b1", summary);
-    }
-    assert_eq!(mesh.are_others_confirmed(NOW), expected);
-    // What was heard long ago says nothing.
-    assert!(mesh.are_others_confirmed(NOW.plus(1_500)));
-}
