feat: log by which version a request was routed and where a confirmation came from

A sent or refused line held the version in force when the line was written, not the one that routed the request; nothing said whose read a confirmation rests on, when a member first heard of a version, how long a read took, or that a version had gone unconfirmed.

Now: sent and refused lines hold the version that routed the request, the present one if it differs, and the instance whose read confirmed it; new lines for an announced version, for the first confirmation after the time limit, and for a caller that leaves before there is a response; how long a read took and how long the log was lost; two metrics.

Ruled out: requests without any line.

--- a/crates/vanillakeel-ctl/src/explain.rs
+++ b/crates/vanillakeel-ctl/src/explain.rs
@@ -19,15 +19,23 @@
 use std::fmt;
 
 /// Messages of the last line that an instance writes about a request.
-const FINAL_MESSAGES: [&str; 4] = ["answered", "refused", "answer cut", "cancelled"];
+const FINAL_MESSAGES: [&str; 5] = [
+    "answered",
+    "refused",
+    "answer cut",
+    "cancelled",
+    "caller left",
+];
 
 /// Messages about changes at an instance that may explain how a request went.
-const STATE_MESSAGES: [&str; 8] = [
+const STATE_MESSAGES: [&str; 10] = [
     "upstream listed",
     "upstream gone",
     "upstream could not be reached",
     "upstream ejected",
+    "newer configuration announced",
     "configuration in force",
+    "configuration confirmed again",
     "log lost",
     "log regained",
     "lines left out",
--- a/crates/vanillakeel-entry/src/gateway/exchange.rs
+++ b/crates/vanillakeel-entry/src/gateway/exchange.rs
@@ -304,14 +304,17 @@
     }
     let now = shared.clock.now();
     let in_force = shared.in_force.borrow();
+    let newest = in_force.table().map(|t| t.version());
     tracing::info!(
         request = %request.id,
         upstream = %pick.name,
         service = %request.service,
         route = %request.route.name,
         rank = request.rank,
-        version = in_force.table().map(|t| t.version()),
+        version = request.version,
+        in_force = newest.filter(|v| *v != request.version),
         proof_age_ms = in_force.confirmation_age_ms(now),
+        proof_from = &**shared.confirmed_by.borrow(),
         attempt = attempts.possible_runs,
         to_read = pick.prefill_tokens,
         cached = pick.cached_tokens,
--- a/crates/vanillakeel-entry/src/gateway/metrics.rs
+++ b/crates/vanillakeel-entry/src/gateway/metrics.rs
@@ -63,8 +63,10 @@
     pub(super) broken_answers: Counter,
     pub(super) upstream_connections: Counter,
     pub(super) source_errors: Counter,
+    pub(super) late_confirmations: Counter,
     pub(super) bad_datagrams: Counter,
     pub(super) version: Gauge,
+    pub(super) confirmation_age_ms: Gauge,
     pub(super) upstreams: Gauge,
     pub(super) peers: Gauge,
     pub(super) covered: Gauge,
@@ -83,8 +85,10 @@
             broken_answers: Counter::default(),
             upstream_connections: Counter::default(),
             source_errors: Counter::default(),
+            late_confirmations: Counter::default(),
             bad_datagrams: Counter::default(),
             version: Gauge::default(),
+            confirmation_age_ms: Gauge::default(),
             upstreams: Gauge::default(),
             peers: Gauge::default(),
             covered: Gauge::default(),
@@ -139,6 +143,11 @@
             "Reads of the log that failed",
             self.source_errors.clone(),
         );
+        registry.register(
+            "late_confirmations",
+            "Confirmations of the configuration that came after its time limit",
+            self.late_confirmations.clone(),
+        );
         registry.register(
             "bad_datagrams",
             "Datagrams of peers that can't be read",
@@ -149,6 +158,11 @@
             "Version of the configuration in force",
             self.version.clone(),
         );
+        registry.register(
+            "configuration_confirmation_age_ms",
+            "Time since the configuration in force was confirmed as the newest",
+            self.confirmation_age_ms.clone(),
+        );
         registry.register("upstreams", "Upstreams known", self.upstreams.clone());
         registry.register("peers", "Other instances known", self.peers.clone());
         registry.register(
--- a/crates/vanillakeel-entry/src/gateway/operators.rs
+++ b/crates/vanillakeel-entry/src/gateway/operators.rs
@@ -54,7 +54,7 @@
         "/ready" | "/readyz" if shared.is_ready() => (StatusCode::OK, "ready\n".to_owned()),
         "/ready" | "/readyz" => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned()),
         "/healthz" => (StatusCode::OK, "alive\n".to_owned()),
-        "/metrics" => (StatusCode::OK, shared.metrics.encode_page()),
+        "/metrics" => (StatusCode::OK, shared.metrics_page()),
         _ => (StatusCode::NOT_FOUND, "no such page\n".to_owned()),
     };
     let mut response = Response::new(Full::new(Bytes::from(body)));
--- a/crates/vanillakeel-entry/src/gateway/peers.rs
+++ b/crates/vanillakeel-entry/src/gateway/peers.rs
@@ -333,7 +333,7 @@
 }
 
 /// Applies the answer of a hub; log contents only count if the hub is fresh.
-fn on_summary(shared: &Shared, now: Millis, hub: &str, summary: &MeshSummary) {
+fn on_summary(shared: &Shared, now: Millis, hub: &Arc<str>, summary: &MeshSummary) {
     let sent = Millis::new(summary.sent);
     let received = Summary {
         is_fresh: summary.fresh,
@@ -346,7 +346,7 @@
     if !summary.fresh {
         return;
     }
-    confirm_version(shared, summary, sent);
+    confirm_version(shared, summary, sent, hub);
     let changes = summary.changes.iter().filter_map(change_from_wire);
     let mut has_changed = false;
     for change in changes {
@@ -370,12 +370,11 @@
 /// the time at which the report was sent from here. `sent` minus the age is therefore never later
 /// than the hub's confirmation, whatever the delays of the datagrams. If the hub has a newer version,
 /// the task that reads the configuration is woken.
-fn confirm_version(shared: &Shared, summary: &MeshSummary, sent: Millis) {
-    let mut in_force = shared.in_force.borrow_mut();
-    let version = in_force.table().map_or(0, |t| t.version());
+fn confirm_version(shared: &Shared, summary: &MeshSummary, sent: Millis, hub: &Arc<str>) {
+    let version = shared.in_force.borrow().table().map_or(0, |t| t.version());
     if version == summary.version {
-        in_force.confirm_newest(sent.minus(summary.proof_age));
-    } else if version < summary.version {
+        shared.confirm_newest(sent.minus(summary.proof_age), hub);
+    } else if shared.on_announced(summary.version, hub) {
         shared.newer_version.notify_one();
     }
 }
--- a/crates/vanillakeel-entry/src/gateway/request.rs
+++ b/crates/vanillakeel-entry/src/gateway/request.rs
@@ -55,6 +55,8 @@
 #[derive(Debug)]
 pub(super) struct RoutedRequest {
     pub(super) id: Arc<str>,
+    /// Version of the configuration by which the request was routed.
+    pub(super) version: u64,
     pub(super) route: Rc<Route>,
     pub(super) service: Arc<str>,
     pub(super) method: Method,
@@ -107,16 +109,29 @@
     let is_unambiguous = connection.scanner.borrow_mut().begin_request();
     let id =
         headers::str_value(req.headers(), &shared.header_names.request_id).map(Arc::<str>::from);
+    let mut open_line = OpenLine {
+        shared: &shared,
+        id: id.clone(),
+        routed_by: None,
+        is_ended: false,
+    };
     let result = if is_unambiguous {
-        serve(&shared, arrived, req).await
+        serve(&shared, arrived, req, &mut open_line.routed_by).await
     } else {
         Err(Refusal::Ambiguous)
     };
+    open_line.is_ended = true;
     let mut response = match result {
         Ok(response) => response,
         Err(refusal) => {
             shared.metrics.on_refusal(refusal);
-            log_refusal(&shared, id.as_deref(), refusal, arrived);
+            log_refusal(
+                &shared,
+                id.as_deref(),
+                refusal,
+                arrived,
+                open_line.routed_by,
+            );
             let mut response = refusal.response();
             let value = id.as_deref().and_then(|id| HeaderValue::from_str(id).ok());
             if let Some(value) = value {
@@ -139,28 +154,60 @@
     response
 }
 
-fn log_refusal(shared: &Shared, id: Option<&str>, refusal: Refusal, arrived: Millis) {
+/// Logs the end of a request whose caller leaves before there is a response.
+struct OpenLine<'a> {
+    shared: &'a Shared,
+    id: Option<Arc<str>>,
+    routed_by: Option<u64>,
+    is_ended: bool,
+}
+
+impl Drop for OpenLine<'_> {
+    fn drop(&mut self) {
+        if self.is_ended || !self.shared.may_log(Kind::Failure) {
+            return;
+        }
+        tracing::info!(
+            request = self.id.as_deref().unwrap_or(""),
+            version = self.routed_by,
+            "caller left"
+        );
+    }
+}
+
+/// Logs a refusal; `routed_by` is the version by which the request was routed, if it was.
+fn log_refusal(
+    shared: &Shared,
+    id: Option<&str>,
+    refusal: Refusal,
+    arrived: Millis,
+    routed_by: Option<u64>,
+) {
     if !shared.may_log(Kind::Failure) {
         return;
     }
     let now = shared.clock.now();
     let in_force = shared.in_force.borrow();
+    let newest = in_force.table().map(|t| t.version());
     tracing::info!(
         request = id.unwrap_or(""),
         reason = refusal.as_str(),
         verdict = refusal.verdict().as_str(),
-        version = in_force.table().map(|t| t.version()),
+        version = routed_by.or(newest),
+        in_force = newest.filter(|_| routed_by.is_some() && routed_by != newest),
         proof_age_ms = in_force.confirmation_age_ms(now),
+        proof_from = &**shared.confirmed_by.borrow(),
         after_ms = now.since(arrived),
         "refused"
     );
 }
 
-/// Reads, routes and forwards a request.
+/// Reads, routes and forwards a request; sets `routed_by` to the version by which it was routed.
 async fn serve(
     shared: &Rc<Shared>,
     arrived: Millis,
     req: Request<Incoming>,
+    routed_by: &mut Option<u64>,
 ) -> Result<Response<ResponseBody>, Refusal> {
     let (parts, body) = req.into_parts();
     let limits = shared.limits();
@@ -173,6 +220,7 @@
     let table = shared.in_force.borrow().table().map(Rc::clone);
     let table = table.ok_or(Refusal::NoConfiguration)?;
     let request = route_request(shared, &table, arrived, parts, body)?;
+    *routed_by = Some(request.version);
     shared.on_request(&request.service);
     exchange::forward(shared, request).await
 }
@@ -257,6 +305,7 @@
             &names.prompt_segments,
         )),
         prompt_tokens: parse_prompt_tokens(headers::str_value(&head.headers, &names.token_counts)),
+        version: table.version(),
         route: Rc::clone(route),
         rank,
         service: Arc::clone(service),
--- a/crates/vanillakeel-entry/src/gateway/shared.rs
+++ b/crates/vanillakeel-entry/src/gateway/shared.rs
@@ -90,6 +90,10 @@
     pub(super) upstreams_read_at: Cell<Option<Millis>>,
     /// Time since which the upstreams known to the hub differ from those known here.
     pub(super) hub_differs_since: Cell<Option<Millis>>,
+    /// Name of the instance whose read confirmed the version in force last, which may be this one.
+    pub(super) confirmed_by: RefCell<Arc<str>>,
+    /// Newest version that a hub has announced, with the time at which it was first heard of.
+    pub(super) announced: Cell<Option<(u64, Millis)>>,
     /// Wakes the task that reads the configuration when a hub has announced a newer version.
     pub(super) newer_version: Notify,
     /// Time at which a stop was requested.
@@ -139,6 +143,8 @@
             recent_changes: RefCell::default(),
             upstreams_read_at: Cell::new(None),
             hub_differs_since: Cell::new(None),
+            confirmed_by: RefCell::new(Arc::from("")),
+            announced: Cell::new(None),
             newer_version: Notify::new(),
             stopping_since: Cell::new(None),
             is_closing: Cell::new(false),
@@ -177,6 +183,57 @@
         may_write
     }
 
+    /// Records that the version in force was the newest at `read_at`, by a read of the instance
+    /// `reader`; logs the end of a time in which the version was not confirmed.
+    pub(super) fn confirm_newest(&self, read_at: Millis, reader: &Arc<str>) {
+        let now = self.clock.now();
+        let mut in_force = self.in_force.borrow_mut();
+        let previous_age_ms = in_force.confirmation_age_ms(now);
+        if !in_force.confirm_newest(read_at) {
+            return;
+        }
+        self.confirmed_by.replace(Arc::clone(reader));
+        let limit_ms = self.settings.borrow().timing.in_force_ms;
+        if previous_age_ms.is_some_and(|age| age >= limit_ms) {
+            self.metrics.late_confirmations.inc();
+            tracing::info!(
+                version = in_force.table().map(|t| t.version()),
+                unconfirmed_ms = previous_age_ms,
+                proof_age_ms = in_force.confirmation_age_ms(now),
+                proof_from = %reader,
+                "configuration confirmed again"
+            );
+        }
+    }
+
+    /// Records that a hub has announced a version; returns whether it is newer than the one in force.
+    pub(super) fn on_announced(&self, version: u64, hub: &str) -> bool {
+        let in_force = self.in_force.borrow().table().map_or(0, |t| t.version());
+        if version <= in_force {
+            return false;
+        }
+        if self
+            .announced
+            .get()
+            .is_none_or(|(known, _)| known < version)
+        {
+            self.announced.set(Some((version, self.clock.now())));
+            tracing::info!(version, in_force, hub, "newer configuration announced");
+        }
+        true
+    }
+
+    /// Returns the page of metrics, with gauges of the present state.
+    pub(super) fn metrics_page(&self) -> String {
+        let age_ms = self
+            .in_force
+            .borrow()
+            .confirmation_age_ms(self.clock.now());
+        let age_ms = age_ms.map_or(-1, |ms| i64::try_from(ms).unwrap_or(i64::MAX));
+        self.metrics.confirmation_age_ms.set(age_ms);
+        self.metrics.encode_page()
+    }
+
     /// Returns the number of instances that share limits, including this one.
     pub(super) fn instances(&self) -> u32 {
         let from_mesh = self.mesh.borrow().instances(self.clock.now());
--- a/crates/vanillakeel-entry/src/gateway/watch.rs
+++ b/crates/vanillakeel-entry/src/gateway/watch.rs
@@ -48,6 +48,7 @@
 /// Follows the routing configuration for as long as the process runs.
 pub(super) async fn follow_configuration(shared: Rc<Shared>, log: LogAdapter) {
     let mut status = TopicStatus::new("configuration");
+    let me = Arc::clone(&shared.mesh.borrow().me().name);
     let mut next_offset = None;
     loop {
         if next_offset.is_some() && shared.mesh.borrow().is_covered(shared.clock.now()) {
@@ -66,12 +67,12 @@
             None => read_all_newest(&log, Topic::Configuration).await,
             Some(from) => (log.read_from)(Topic::Configuration, from, wait_ms).await,
         };
-        status.on_read(&shared, &result);
+        status.on_read(&shared, asked_at, &result);
         match result {
             Ok(page) => {
                 next_offset = Some(page.next_offset);
-                apply_configuration(&shared, &log, &page);
-                shared.in_force.borrow_mut().confirm_newest(asked_at);
+                apply_configuration(&shared, &log, &page, asked_at);
+                shared.confirm_newest(asked_at, &me);
             }
             Err(ReadError::Compacted) => next_offset = None,
             Err(_) => sleep(Duration::from_millis(RETRY_PAUSE_MS)).await,
@@ -80,7 +81,7 @@
 }
 
 /// Puts the configurations of a page in force if they are newer than the present one.
-fn apply_configuration(shared: &Shared, log: &LogAdapter, page: &Page) {
+fn apply_configuration(shared: &Shared, log: &LogAdapter, page: &Page, asked_at: Millis) {
     let is_configuration = |e: &&Entry| e.key == log.configuration_key;
     for entry in page.entries.iter().filter(is_configuration) {
         let Some(value) = &entry.value else {
@@ -89,10 +90,19 @@
         match (log.decode_configuration)(value) {
             Ok(spec) => {
                 let version = spec.version;
+                let previous = shared.in_force.borrow().table().map(|t| t.version());
                 let is_newer = shared.in_force.borrow_mut().install(Table::new(spec));
                 if is_newer {
+                    let now = shared.clock.now();
+                    let announced = shared.announced.get().filter(|(v, _)| *v <= version);
                     shared.metrics.version.set(version.cast_signed());
-                    tracing::info!(version, "configuration in force");
+                    tracing::info!(
+                        version,
+                        previous,
+                        read_ms = now.since(asked_at),
+                        announced_ms = announced.map(|(_, at)| now.since(at)),
+                        "configuration in force"
+                    );
                 }
             }
             Err(e) => tracing::error!(error = %e, "configuration can't be read; the old one stays"),
@@ -125,11 +135,12 @@
             sweep_connections(&shared);
             continue;
         }
+        let asked_at = shared.clock.now();
         let result = match next_offset {
             None => read_all_newest(&log, Topic::Upstreams).await,
             Some(from) => (log.read_from)(Topic::Upstreams, from, 0).await,
         };
-        status.on_read(&shared, &result);
+        status.on_read(&shared, asked_at, &result);
         let now = shared.clock.now();
         let pause_ms = match result {
             Ok(page) => {
@@ -259,8 +270,8 @@
 #[derive(Debug)]
 struct TopicStatus {
     topic: &'static str,
-    /// Whether the last read failed.
-    is_lost: bool,
+    /// Time at which the first read of the failures since the last answer was sent.
+    lost_since: Option<Millis>,
     /// Whether a read has failed since this field was last cleared.
     was_lost: bool,
 }
@@ -269,26 +280,29 @@
     const fn new(topic: &'static str) -> Self {
         Self {
             topic,
-            is_lost: false,
+            lost_since: None,
             was_lost: false,
         }
     }
 
     /// Records the result of a read; logs the start and the end of an outage.
-    fn on_read(&mut self, shared: &Shared, result: &Result<Page, ReadError>) {
+    fn on_read(&mut self, shared: &Shared, asked_at: Millis, result: &Result<Page, ReadError>) {
+        let now = shared.clock.now();
         let error = match result {
             Ok(_) | Err(ReadError::Compacted) => None,
             Err(e) => Some(e),
         };
         if let Some(e) = error {
             shared.metrics.source_errors.inc();
-            if !self.is_lost {
-                tracing::warn!(topic = self.topic, error = %e, "log lost");
+            if self.lost_since.is_none() {
+                self.lost_since = Some(asked_at);
+                let read_ms = now.since(asked_at);
+                tracing::warn!(topic = self.topic, error = %e, read_ms, "log lost");
             }
             self.was_lost = true;
-        } else if self.is_lost {
-            tracing::info!(topic = self.topic, "log regained");
+        } else if let Some(since) = self.lost_since.take() {
+            let lost_ms = now.since(since);
+            tracing::info!(topic = self.topic, lost_ms, "log regained");
         }
-        self.is_lost = error.is_some();
     }
 }
--- a/crates/vanillakeel/src/routes/in_force.rs
+++ b/crates/vanillakeel/src/routes/in_force.rs
@@ -55,12 +55,17 @@
         is_newer
     }
 
-    /// Records that a read of the newest version, sent at `sent_at`, was answered.
+    /// Records that a read of the newest version, sent at `sent_at`, was answered; returns whether
+    /// this is the latest confirmation so far.
     ///
     /// A newer version may have appeared while the answer was on its way, so the confirmation
     /// counts from the time at which the read was sent.
-    pub fn confirm_newest(&mut self, sent_at: Millis) {
-        self.confirmed_at = self.confirmed_at.max(Some(sent_at));
+    pub fn confirm_newest(&mut self, sent_at: Millis) -> bool {
+        let is_latest = self.confirmed_at < Some(sent_at);
+        if is_latest {
+            self.confirmed_at = Some(sent_at);
+        }
+        is_latest
     }
 
     /// Returns the version in force.
