--- a/crates/vanillakeel-entry/src/gateway/shared.rs
+++ b/crates/vanillakeel-entry/src/gateway/shared.rs
@@ -225,10 +225,7 @@
 
     /// Returns the page of metrics, with gauges of the present state.
     pub(super) fn metrics_page(&self) -> String {
-        let age_ms = self
-            .in_force
-            .borrow()
-            .confirmation_age_ms(self.clock.now());
+        let age_ms = self.in_force.borrow().confirmation_age_ms(self.clock.now());
         let age_ms = age_ms.map_or(-1, |ms| i64::try_from(ms).unwrap_or(i64::MAX));
         self.metrics.confirmation_age_ms.set(age_ms);
         self.metrics.encode_page()
