fix: repeat a late read of the log on a new connection

Cause: an instance that a hub covers keeps connections to the log that it does not use. If they die without a sign, the read of an announced version waits 1,000 ms for each of them and pauses 250 ms in between; a read that already waits at the log was not ended by the announcement at all and took 2,000 ms.

Now: a read whose answer is 300 ms late is repeated on a new connection and the first answer counts; all idle connections are then dropped; an announcement ends a read that waits. Reads are idempotent, so the repetition does no harm.

Ruled out: the hub (it has the version within 20 ms), the decoder, lost datagrams (the announcement is logged at once).

--- a/crates/vanillakeel-entry/src/gateway.rs
+++ b/crates/vanillakeel-entry/src/gateway.rs
@@ -27,6 +27,7 @@
 mod headers;
 mod lines;
 mod log_adapter;
+mod log_reads;
 mod mesh_wire;
 mod metrics;
 mod operators;
--- a/crates/vanillakeel-entry/src/gateway/log_adapter.rs
+++ b/crates/vanillakeel-entry/src/gateway/log_adapter.rs
@@ -81,6 +81,8 @@
     pub read_from: Rc<ReadFrom>,
     /// Writes or deletes a record.
     pub write: Rc<WriteEntry>,
+    /// Closes all idle connections, so that the next call opens a new one.
+    pub drop_idle: Rc<dyn Fn()>,
     /// Key of the record with the routing configuration.
     pub configuration_key: String,
     /// Decodes the routing configuration; an error names the field.
@@ -103,6 +105,7 @@
             read_newest: Rc::new(move |_, _| Box::pin(async move { Err(fail()) })),
             read_from: Rc::new(move |_, _, _| Box::pin(async move { Err(fail()) })),
             write: Rc::new(move |_, _| Box::pin(async move { Err(fail()) })),
+            drop_idle: Rc::new(|| ()),
             configuration_key: "configuration".to_owned(),
             decode_configuration: |_| Err("no source is set".to_owned()),
             decode_upstream: |_, _| Err("no source is set".to_owned()),
--- /dev/null
+++ b/crates/vanillakeel-entry/src/gateway/log_reads.rs
@@ -0,0 +1,139 @@
+//! Reads of the log that are answered in time although a connection has died without a sign.
+//!
+//! A connection to the log can be dead for long before it is used again: one that is idle while a hub
+//! reads the log for this instance, or one on which a read waits for a new record. [`read`] therefore
+//! repeats a read whose answer is late on a new connection and takes the answer that comes first.
+//!
+//! ```ignore
+//! let req = ReadRequest { topic: Topic::Upstreams, ..ReadRequest::default() };
+//! let answer = log_reads::read(shared.clock, &log, req).await;
+//! ```
+
+use super::log_adapter::{
+    LogAdapter,
+    Page,
+    ReadError,
+    Topic, //
+};
+use crate::Clock;
+use futures_util::future::{
+    Either,
+    select_ok, //
+};
+use std::time::Duration;
+use tokio::time::timeout;
+use vanillakeel::Millis;
+
+/// Time after which an answer is late, in addition to the wait that the read asks for, in ms.
+pub(super) const ANSWER_DUE_MS: u64 = 300;
+
+/// What to read.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ReadRequest {
+    pub(super) topic: Topic,
+    /// Offset from which records are read; without it, the newest record of every key is read.
+    pub(super) from: Option<u64>,
+    /// Time for which the log waits for the first record, in ms.
+    pub(super) wait_ms: u64,
+    /// Whether the read before this one got no answer, so that no kept connection is left.
+    pub(super) is_retry: bool,
+}
+
+impl Default for ReadRequest {
+    fn default() -> Self {
+        Self {
+            topic: Topic::Configuration,
+            from: None,
+            wait_ms: 0,
+            is_retry: false,
+        }
+    }
+}
+
+/// The answer to a read.
+#[derive(Debug)]
+pub(super) struct Answer {
+    /// Time at which the read was sent.
+    pub(super) asked_at: Millis,
+    pub(super) result: Result<Page, ReadError>,
+}
+
+impl Answer {
+    /// Returns whether the log itself has answered, if only with a refusal.
+    pub(super) const fn is_from_log(&self) -> bool {
+        !matches!(
+            self.result,
+            Err(ReadError::NoAnswer(_) | ReadError::Malformed(_))
+        )
+    }
+}
+
+/// Reads from the log; repeats the read once on a new connection if the answer is late or missing.
+pub(super) async fn read(clock: Clock, log: &LogAdapter, req: ReadRequest) -> Answer {
+    let mut first = Box::pin(send(clock, log, req));
+    let due = Duration::from_millis(req.wait_ms + ANSWER_DUE_MS);
+    let answer = if req.is_retry {
+        first.await
+    } else {
+        match timeout(due, &mut first).await {
+            Ok(answer) if answer.is_from_log() => return answer,
+            first_result => {
+                (log.drop_idle)();
+                let second = Box::pin(send(clock, log, ReadRequest { wait_ms: 0, ..req }));
+                if first_result.is_ok() {
+                    second.await
+                } else {
+                    first_answered(first, second).await
+                }
+            }
+        }
+    };
+    if !answer.is_from_log() {
+        (log.drop_idle)();
+    }
+    answer
+}
+
+/// Returns the first answer that comes from the log, or the last failure.
+async fn first_answered(
+    first: impl Future<Output = Answer> + Unpin,
+    second: impl Future<Output = Answer> + Unpin,
+) -> Answer {
+    let required = async |read| {
+        let answer: Answer = match read {
+            Either::Left(first) => first.await,
+            Either::Right(second) => second.await,
+        };
+        if answer.is_from_log() {
+            Ok(answer)
+        } else {
+            Err(answer)
+        }
+    };
+    let reads = [Either::Left(first), Either::Right(second)];
+    match select_ok(reads.map(|read| Box::pin(required(read)))).await {
+        Ok((answer, _)) | Err(answer) => answer,
+    }
+}
+
+async fn send(clock: Clock, log: &LogAdapter, req: ReadRequest) -> Answer {
+    let asked_at = clock.now();
+    let result = match req.from {
+        None => read_all_newest(log, req.topic).await,
+        Some(from) => (log.read_from)(req.topic, from, req.wait_ms).await,
+    };
+    Answer { asked_at, result }
+}
+
+/// Reads all pages of the newest records, with the offset from which to continue.
+async fn read_all_newest(log: &LogAdapter, topic: Topic) -> Result<Page, ReadError> {
+    let mut all = (log.read_newest)(topic, None).await?;
+    // `next_offset` stays that of the first page: records that are written while the other pages are
+    // read follow after it.
+    while let Some(after) = all.continue_after.take() {
+        let page = (log.read_newest)(topic, Some(after)).await?;
+        all.entries.extend(page.entries);
+        all.continue_after = page.continue_after;
+    }
+    Ok(all)
+}
--- a/crates/vanillakeel-entry/src/gateway/watch.rs
+++ b/crates/vanillakeel-entry/src/gateway/watch.rs
@@ -12,6 +12,11 @@
         ReadError,
         Topic, //
     },
+    log_reads::{
+        self,
+        Answer,
+        ReadRequest, //
+    },
     shared::Shared,
 };
 use std::{
@@ -61,11 +66,25 @@
             }
             next_offset = None;
         }
-        let asked_at = shared.clock.now();
+        let is_retry = status.is_lost();
         let wait_ms = shared.settings.borrow().timing.configuration_wait_ms;
-        let result = match next_offset {
-            None => read_all_newest(&log, Topic::Configuration).await,
-            Some(from) => (log.read_from)(Topic::Configuration, from, wait_ms).await,
+        let req = ReadRequest {
+            topic: Topic::Configuration,
+            from: next_offset,
+            wait_ms: if is_retry || next_offset.is_none() {
+                0
+            } else {
+                wait_ms
+            },
+            is_retry,
+        };
+        let Answer { asked_at, result } = tokio::select! {
+            answer = log_reads::read(shared.clock, &log, req) => answer,
+            // A hub has a newer version: the read that waits for it here may be on a dead connection.
+            () = shared.newer_version.notified(), if next_offset.is_some() => {
+                next_offset = None;
+                continue;
+            }
         };
         status.on_read(&shared, asked_at, &result);
         match result {
@@ -110,19 +129,6 @@
     }
 }
 
-/// Reads all pages of the newest records, with the offset from which to continue.
-async fn read_all_newest(log: &LogAdapter, topic: Topic) -> Result<Page, ReadError> {
-    let mut all = (log.read_newest)(topic, None).await?;
-    // `next_offset` stays that of the first page: records that are written while the other pages are
-    // read follow after it.
-    while let Some(after) = all.continue_after.take() {
-        let page = (log.read_newest)(topic, Some(after)).await?;
-        all.entries.extend(page.entries);
-        all.continue_after = page.continue_after;
-    }
-    Ok(all)
-}
-
 /// Follows the list of upstreams for as long as the process runs.
 pub(super) async fn follow_upstreams(shared: Rc<Shared>, log: LogAdapter) {
     let mut status = TopicStatus::new("upstreams");
@@ -135,11 +141,13 @@
             sweep_connections(&shared);
             continue;
         }
-        let asked_at = shared.clock.now();
-        let result = match next_offset {
-            None => read_all_newest(&log, Topic::Upstreams).await,
-            Some(from) => (log.read_from)(Topic::Upstreams, from, 0).await,
+        let req = ReadRequest {
+            topic: Topic::Upstreams,
+            from: next_offset,
+            is_retry: status.is_lost(),
+            ..ReadRequest::default()
         };
+        let Answer { asked_at, result } = log_reads::read(shared.clock, &log, req).await;
         status.on_read(&shared, asked_at, &result);
         let now = shared.clock.now();
         let pause_ms = match result {
@@ -285,6 +293,11 @@
         }
     }
 
+    /// Returns whether the last read failed.
+    const fn is_lost(&self) -> bool {
+        self.lost_since.is_some()
+    }
+
     /// Records the result of a read; logs the start and the end of an outage.
     fn on_read(&mut self, shared: &Shared, asked_at: Millis, result: &Result<Page, ReadError>) {
         let now = shared.clock.now();
