fix: use a version only while confirmed, or while the log is unreachable

Cause, the root of the incident: evidence outlived its bound. A confirmation is evidence for in_force_ms (2,000 ms) that no newer version has to be in force, but requests with a granted key were routed by it for as long as the key may be accepted (4,700 ms). Whatever made a read late, a dead connection, a pause, a hub that hangs, therefore became a wrong route. A member even went on when its hub had told it of the newer version.

Now: InForce::standing decides. Confirmed: used. Disconnected, that is a read sent since the confirmation failed on a new connection a short time ago, and nothing newer was announced: used as before, since a cut-off instance should serve what it can. Otherwise unconfirmed: the request waits up to 100 ms for a confirmation, then is refused as not run. A failure that took longer than an attempt may was a pause and is no evidence. A read waits at the log for a third of in_force_ms at most, so that a second one fits within the bound; before, a confirmation was 2,016 ms old in normal operation.

--- a/crates/vanillakeel-entry/src/gateway/log_reads.rs
+++ b/crates/vanillakeel-entry/src/gateway/log_reads.rs
@@ -18,7 +18,7 @@
 use crate::Clock;
 use futures_util::future::{
     Either,
-    select_ok, //
+    select, //
 };
 use std::time::Duration;
 use tokio::time::timeout;
@@ -53,12 +53,22 @@
 /// The answer to a read.
 #[derive(Debug)]
 pub(super) struct Answer {
-    /// Time at which the read was sent.
+    /// Time at which the read was sent; for a failure, that of the last attempt.
     pub(super) asked_at: Millis,
     pub(super) result: Result<Page, ReadError>,
 }
 
 impl Answer {
+    /// Returns whether this is evidence that the log can't be reached from here.
+    ///
+    /// A read fails only after an attempt on a new connection, or with a refusal, so a failure is
+    /// evidence. If it took much longer than the time limit of an attempt, the process was paused and
+    /// may have missed the answer.
+    pub(super) const fn shows_unreachable_log(&self, now: Millis, limit_ms: u64) -> bool {
+        let is_failure = !matches!(self.result, Ok(_) | Err(ReadError::Compacted));
+        is_failure && now.since(self.asked_at) < limit_ms + ANSWER_DUE_MS
+    }
+
     /// Returns whether the log itself has answered, if only with a refusal.
     pub(super) const fn is_from_log(&self) -> bool {
         !matches!(
@@ -94,25 +104,23 @@
     answer
 }
 
-/// Returns the first answer that comes from the log, or the last failure.
+/// Returns the first answer that comes from the log, or the failure of the second read.
 async fn first_answered(
     first: impl Future<Output = Answer> + Unpin,
     second: impl Future<Output = Answer> + Unpin,
 ) -> Answer {
-    let required = async |read| {
-        let answer: Answer = match read {
-            Either::Left(first) => first.await,
-            Either::Right(second) => second.await,
-        };
-        if answer.is_from_log() {
-            Ok(answer)
-        } else {
-            Err(answer)
+    match select(first, second).await {
+        Either::Left((answer, _)) if answer.is_from_log() => answer,
+        Either::Left((_, second)) => second.await,
+        Either::Right((answer, _)) if answer.is_from_log() => answer,
+        Either::Right((failure, first)) => {
+            let answer = first.await;
+            if answer.is_from_log() {
+                answer
+            } else {
+                failure
+            }
         }
-    };
-    let reads = [Either::Left(first), Either::Right(second)];
-    match select_ok(reads.map(|read| Box::pin(required(read)))).await {
-        Ok((answer, _)) | Err(answer) => answer,
     }
 }
 
--- a/crates/vanillakeel-entry/src/gateway/peers.rs
+++ b/crates/vanillakeel-entry/src/gateway/peers.rs
@@ -371,7 +371,7 @@
 /// than the hub's confirmation, whatever the delays of the datagrams. If the hub has a newer version,
 /// the task that reads the configuration is woken.
 fn confirm_version(shared: &Shared, summary: &MeshSummary, sent: Millis, hub: &Arc<str>) {
-    let version = shared.in_force.borrow().table().map_or(0, |t| t.version());
+    let version = shared.in_force.borrow().version();
     if version == summary.version {
         shared.confirm_newest(sent.minus(summary.proof_age), hub);
     } else if shared.on_announced(summary.version, hub) {
--- a/crates/vanillakeel-entry/src/gateway/request.rs
+++ b/crates/vanillakeel-entry/src/gateway/request.rs
@@ -217,8 +217,7 @@
     }
     // The body may have taken long to arrive, so the table in force now is used, not that of the
     // arrival.
-    let table = shared.in_force.borrow().table().map(Rc::clone);
-    let table = table.ok_or(Refusal::NoConfiguration)?;
+    let table = shared.usable_table().await?;
     let request = route_request(shared, &table, arrived, parts, body)?;
     *routed_by = Some(request.version);
     shared.on_request(&request.service);
--- a/crates/vanillakeel-entry/src/gateway/settings.rs
+++ b/crates/vanillakeel-entry/src/gateway/settings.rs
@@ -101,7 +101,8 @@
     pub connect_ms: u64,
     /// A connection is closed when sent bytes are not acknowledged within this time.
     pub unacknowledged_ms: u64,
-    /// Time for which a read of the configuration waits at the log for a new version.
+    /// Time for which a read of the configuration waits at the log for a new version, at most a third
+    /// of `in_force_ms`.
     pub configuration_wait_ms: u64,
     /// Time between two reads of the entries of upstreams.
     pub discovery_every_ms: u64,
@@ -126,6 +127,22 @@
     pub grace_ms: u64,
 }
 
+impl Timing {
+    /// Returns the time for which a read of the configuration waits at the log, in ms.
+    ///
+    /// It leaves time for a second read before a version has to be in force, in case the connection
+    /// of the first one is dead.
+    #[must_use]
+    pub const fn configuration_read_wait_ms(&self) -> u64 {
+        let max_ms = self.in_force_ms / 3;
+        if self.configuration_wait_ms < max_ms {
+            self.configuration_wait_ms
+        } else {
+            max_ms
+        }
+    }
+}
+
 impl Default for Timing {
     fn default() -> Self {
         Self {
--- a/crates/vanillakeel-entry/src/gateway/shared.rs
+++ b/crates/vanillakeel-entry/src/gateway/shared.rs
@@ -4,6 +4,7 @@
 //! an `await`.
 
 use super::{
+    answer::Refusal,
     client::ConnectionTimeouts,
     header_names::HeaderNames,
     lines::{
@@ -24,7 +25,10 @@
     sync::Arc,
     time::Duration,
 };
-use tokio::sync::Notify;
+use tokio::{
+    sync::Notify,
+    time::timeout, //
+};
 use vanillakeel::{
     Millis,
     attempt::{
@@ -45,7 +49,9 @@
     routes::{
         Freshness,
         InForce,
-        Limits, //
+        Limits,
+        Standing,
+        Table, //
     },
 };
 
@@ -58,6 +64,10 @@
 /// log, in ms.
 const ALL_STALE_RETRY_MS: u64 = 1_000;
 
+/// Longest wait of a request for a confirmation of the version in force, in ms: a few round trips to
+/// the log, for example after a pause of the process.
+const MAX_UNCONFIRMED_WAIT_MS: u64 = 100;
+
 /// Time for which a hub repeats the change of an upstream to its members, in ms.
 ///
 /// The repetition makes up for lost datagrams.
@@ -92,8 +102,8 @@
     pub(super) hub_differs_since: Cell<Option<Millis>>,
     /// Name of the instance whose read confirmed the version in force last, which may be this one.
     pub(super) confirmed_by: RefCell<Arc<str>>,
-    /// Newest version that a hub has announced, with the time at which it was first heard of.
-    pub(super) announced: Cell<Option<(u64, Millis)>>,
+    /// Wakes requests that wait until the version in force may be used.
+    standing_changed: Notify,
     /// Wakes the task that reads the configuration when a hub has announced a newer version.
     pub(super) newer_version: Notify,
     /// Time at which a stop was requested.
@@ -116,7 +126,7 @@
                 .timing
                 .revoked_ms
                 .saturating_sub(FRESHNESS_MARGIN_MS),
-            denial_ms: settings.timing.in_force_ms,
+            version_ms: settings.timing.in_force_ms,
         };
         let fleet = fleet::Settings {
             data_centre: Arc::from(&*settings.instance.data_centre),
@@ -144,7 +154,7 @@
             upstreams_read_at: Cell::new(None),
             hub_differs_since: Cell::new(None),
             confirmed_by: RefCell::new(Arc::from("")),
-            announced: Cell::new(None),
+            standing_changed: Notify::new(),
             newer_version: Notify::new(),
             stopping_since: Cell::new(None),
             is_closing: Cell::new(false),
@@ -192,6 +202,7 @@
         if !in_force.confirm_newest(read_at) {
             return;
         }
+        self.standing_changed.notify_waiters();
         self.confirmed_by.replace(Arc::clone(reader));
         let limit_ms = self.settings.borrow().timing.in_force_ms;
         if previous_age_ms.is_some_and(|age| age >= limit_ms) {
@@ -206,21 +217,50 @@
         }
     }
 
+    /// Records that the configuration could not be read on a new connection.
+    pub(super) fn on_read_failed(&self, sent_at: Millis) {
+        let now = self.clock.now();
+        self.in_force.borrow_mut().on_read_failed(sent_at, now);
+        self.standing_changed.notify_waiters();
+    }
+
+    /// Returns the version in force as soon as it may be used for a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if no version is known, or if the one in force stays unconfirmed for
+    /// [`MAX_UNCONFIRMED_WAIT_MS`].
+    pub(super) async fn usable_table(&self) -> Result<Rc<Table>, Refusal> {
+        let start = self.clock.now();
+        loop {
+            let now = self.clock.now();
+            let table = {
+                let in_force = self.in_force.borrow();
+                let table = in_force.table().ok_or(Refusal::NoConfiguration)?;
+                (in_force.standing(now) != Standing::Unconfirmed).then(|| Rc::clone(table))
+            };
+            if let Some(table) = table {
+                return Ok(table);
+            }
+            let left_ms = MAX_UNCONFIRMED_WAIT_MS.saturating_sub(now.since(start));
+            let changed = self.standing_changed.notified();
+            if timeout(Duration::from_millis(left_ms), changed)
+                .await
+                .is_err()
+            {
+                return Err(Refusal::Stale(self.stale_retry_after_ms(now)));
+            }
+        }
+    }
+
     /// Records that a hub has announced a version; returns whether it is newer than the one in force.
     pub(super) fn on_announced(&self, version: u64, hub: &str) -> bool {
-        let in_force = self.in_force.borrow().table().map_or(0, |t| t.version());
-        if version <= in_force {
-            return false;
-        }
-        if self
-            .announced
-            .get()
-            .is_none_or(|(known, _)| known < version)
-        {
-            self.announced.set(Some((version, self.clock.now())));
+        let mut in_force = self.in_force.borrow_mut();
+        if in_force.on_announced(self.clock.now(), version) {
+            let in_force = in_force.version();
             tracing::info!(version, in_force, hub, "newer configuration announced");
         }
-        true
+        version > in_force.version()
     }
 
     /// Returns the page of metrics, with gauges of the present state.
--- a/crates/vanillakeel-entry/src/gateway/watch.rs
+++ b/crates/vanillakeel-entry/src/gateway/watch.rs
@@ -67,18 +67,18 @@
             next_offset = None;
         }
         let is_retry = status.is_lost();
-        let wait_ms = shared.settings.borrow().timing.configuration_wait_ms;
+        let timing = shared.settings.borrow().timing;
         let req = ReadRequest {
             topic: Topic::Configuration,
             from: next_offset,
             wait_ms: if is_retry || next_offset.is_none() {
                 0
             } else {
-                wait_ms
+                timing.configuration_read_wait_ms()
             },
             is_retry,
         };
-        let Answer { asked_at, result } = tokio::select! {
+        let answer = tokio::select! {
             answer = log_reads::read(shared.clock, &log, req) => answer,
             // A hub has a newer version: the read that waits for it here may be on a dead connection.
             () = shared.newer_version.notified(), if next_offset.is_some() => {
@@ -86,6 +86,10 @@
                 continue;
             }
         };
+        if answer.shows_unreachable_log(shared.clock.now(), timing.store_answer_ms) {
+            shared.on_read_failed(answer.asked_at);
+        }
+        let Answer { asked_at, result } = answer;
         status.on_read(&shared, asked_at, &result);
         match result {
             Ok(page) => {
@@ -113,7 +117,8 @@
                 let is_newer = shared.in_force.borrow_mut().install(Table::new(spec));
                 if is_newer {
                     let now = shared.clock.now();
-                    let announced = shared.announced.get().filter(|(v, _)| *v <= version);
+                    let announced = shared.in_force.borrow().announced();
+                    let announced = announced.filter(|(v, _)| *v <= version);
                     shared.metrics.version.set(version.cast_signed());
                     tracing::info!(
                         version,
--- a/crates/vanillakeel/src/routes.rs
+++ b/crates/vanillakeel/src/routes.rs
@@ -22,7 +22,8 @@
 pub use self::{
     in_force::{
         Freshness,
-        InForce, //
+        InForce,
+        Standing, //
     },
     parts::{
         Limits,
--- a/crates/vanillakeel/src/routes/in_force.rs
+++ b/crates/vanillakeel/src/routes/in_force.rs
@@ -1,4 +1,21 @@
-//! The version in force, and the time since it was confirmed as the newest.
+//! The version in force, and how well it is known to be the newest.
+//!
+//! A version is used for a request while it is *confirmed*: a read of the log that was sent recently
+//! showed that it is the newest. An instance that can't reach the log goes on with the last version,
+//! as no other instance can serve its callers better, but one that only reads late must not.
+//!
+//! ```
+//! use vanillakeel::{
+//!     Millis,
+//!     routes::{InForce, Standing, Table, TableSpec},
+//! };
+//!
+//! let mut in_force = InForce::default();
+//! in_force.install(Table::new(TableSpec::default()));
+//! in_force.confirm_newest(Millis::new(1_000));
+//! assert_eq!(in_force.standing(Millis::new(1_500)), Standing::Confirmed);
+//! assert_eq!(in_force.standing(Millis::new(9_000)), Standing::Unconfirmed);
+//! ```
 
 use super::Table;
 use crate::Millis;
@@ -10,26 +27,43 @@
     /// Time after the last confirmation for which keys are accepted, in ms; later a key may have
     /// been revoked unseen.
     pub keys_ms: u64,
-    /// Time after the last confirmation for which an unknown route or key is denied, in ms; later
-    /// it may have been added unseen.
-    pub denial_ms: u64,
+    /// Time after the last confirmation for which the version is confirmed, in ms; later a newer one
+    /// may have to be in force.
+    pub version_ms: u64,
 }
 
 impl Default for Freshness {
     fn default() -> Self {
         Self {
             keys_ms: 4_700,
-            denial_ms: 2_000,
+            version_ms: 2_000,
         }
     }
 }
 
+/// Whether the version in force may be used for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// It was the newest a short time ago.
+    Confirmed,
+    /// It is the last one that was read before the log became unreachable, and nothing is known of a
+    /// newer one.
+    Disconnected,
+    /// A newer one may have to be in force, or has been announced.
+    Unconfirmed,
+}
+
 /// The version in force at an instance, with the time of its last confirmation.
 #[derive(Clone, Debug, Default)]
 pub struct InForce {
     freshness: Freshness,
     table: Option<Rc<Table>>,
     confirmed_at: Option<Millis>,
+    /// Time of the last read that failed on a new connection: when it was sent and when it failed.
+    failed_read: Option<(Millis, Millis)>,
+    /// Newest version that another instance has announced, with the time at which it was first heard
+    /// of.
+    announced: Option<(u64, Millis)>,
 }
 
 impl InForce {
@@ -40,6 +74,8 @@
             freshness,
             table: None,
             confirmed_at: None,
+            failed_read: None,
+            announced: None,
         }
     }
 
@@ -68,18 +104,67 @@
         is_latest
     }
 
+    /// Records that a read that was sent at `sent_at` on a new connection failed at `failed_at`.
+    pub const fn on_read_failed(&mut self, sent_at: Millis, failed_at: Millis) {
+        self.failed_read = Some((sent_at, failed_at));
+    }
+
+    /// Records that another instance has announced a version; returns whether it is newer than the
+    /// one in force and all that were announced before.
+    pub fn on_announced(&mut self, now: Millis, version: u64) -> bool {
+        let newest_known = self.announced.map_or(0, |(v, _)| v).max(self.version());
+        let is_newer = version > newest_known;
+        if is_newer {
+            self.announced = Some((version, now));
+        }
+        is_newer
+    }
+
     /// Returns the version in force.
     #[must_use]
     pub const fn table(&self) -> Option<&Rc<Table>> {
         self.table.as_ref()
     }
 
+    /// Returns the number of the version in force, or 0 without one.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.table.as_ref().map_or(0, |t| t.version())
+    }
+
+    /// Returns the newest version that was announced, with the time at which it was first heard of.
+    #[must_use]
+    pub const fn announced(&self) -> Option<(u64, Millis)> {
+        self.announced
+    }
+
     /// Returns the time since the last confirmation, in ms, or `None` without one.
     #[must_use]
     pub fn confirmation_age_ms(&self, now: Millis) -> Option<u64> {
         self.confirmed_at.map(|t| now.since(t))
     }
 
+    /// Returns whether the version in force may be used for a request.
+    ///
+    /// The log counts as unreachable if a read that was sent after the last confirmation has failed
+    /// recently; an older failure says nothing about the present, for example after a pause of the
+    /// process.
+    #[must_use]
+    pub fn standing(&self, now: Millis) -> Standing {
+        if self.may_deny(now) {
+            return Standing::Confirmed;
+        }
+        let is_unreachable = self.failed_read.is_some_and(|(sent_at, failed_at)| {
+            Some(sent_at) >= self.confirmed_at && now.since(failed_at) < self.freshness.version_ms
+        });
+        let is_superseded = self.announced.is_some_and(|(v, _)| v > self.version());
+        if is_unreachable && !is_superseded {
+            Standing::Disconnected
+        } else {
+            Standing::Unconfirmed
+        }
+    }
+
     /// Returns whether keys are accepted: the last confirmation is recent enough that none can have
     /// been revoked long ago without this instance knowing.
     #[must_use]
@@ -92,6 +177,6 @@
     #[must_use]
     pub fn may_deny(&self, now: Millis) -> bool {
         self.confirmation_age_ms(now)
-            .is_some_and(|age| age < self.freshness.denial_ms)
+            .is_some_and(|age| age < self.freshness.version_ms)
     }
 }
--- a/crates/vanillakeel/tests/passed_routes.rs
+++ b/crates/vanillakeel/tests/passed_routes.rs
@@ -109,7 +109,7 @@
 fn proof_age(#[case] age_ms: u64, #[case] keys: bool, #[case] denial: bool) {
     let mut in_force = InForce::new(Freshness {
         keys_ms: 4_000,
-        denial_ms: 1_000,
+        version_ms: 1_000,
     });
     let sent_at = Millis::new(5_000);
     assert!(!in_force.may_use_keys(sent_at));
