fix: members stop relying on a hub that can't read, versions heard of bind all

Seen in a test: a hub that has lost the log runs 187 requests by version 1, up to 4,000 ms after version 2 was acknowledged, although the reports of its member could have told it of version 2.

Cause, of the same class: a hub counted as fresh until its confirmation was 2,600 ms old, above the bound of 2,000 ms that its members have to keep, and also while its reads already failed. Reports and totals did not say which version their sender has, so a hub never heard of a newer one.

Now: a hub is fresh until its confirmation is half-way between the longest wait of a read and in_force_ms (1,333 ms by default), and not while its reads fail; reports and totals hold the sender's version, and a version heard of from any instance wakes the reader and ends the use of the old one without contact. Fields are new, so older instances ignore them.

--- a/crates/vanillakeel-entry/src/gateway/peers.rs
+++ b/crates/vanillakeel-entry/src/gateway/peers.rs
@@ -60,9 +60,6 @@
 /// Largest age of the last read of the upstreams at which a hub counts as fresh, in ms.
 const MAX_READ_AGE_MS: u64 = 1_500;
 
-/// Largest age of the last confirmation of the version at which a hub counts as fresh, in ms.
-const MAX_CONFIRMATION_AGE_MS: u64 = 2_600;
-
 /// Exchanges messages with peers for as long as the process runs.
 pub(super) async fn run(shared: Rc<Shared>, log: LogAdapter, socket: Rc<UdpSocket>) {
     tokio::join!(
@@ -196,6 +193,7 @@
             loads: Some(loads_to_wire(&total)),
             instances,
             reads: Some(cache_notices_to_wire(shared, now)),
+            version: shared.in_force.borrow().version(),
         };
         send_message(shared, socket, &peer, Kind::Exchange(message)).await;
     }
@@ -212,6 +210,7 @@
         loads: Some(loads_to_wire(&shared.fleet.borrow().loads())),
         reads: Some(cache_notices_to_wire(shared, now)),
         confirmed: shared.in_force.borrow().may_use_keys(now),
+        version: shared.in_force.borrow().version(),
     })
 }
 
@@ -274,6 +273,7 @@
     shared.mesh.borrow_mut().on_peer(&peer);
     match message.kind {
         Some(Kind::Report(report)) => {
+            shared.on_announced(report.version, name);
             record_cache_notices(shared, now, report.reads.as_ref());
             let loads = loads_from_wire(report.loads.as_ref());
             let is_same_data_centre = {
@@ -290,6 +290,7 @@
             }
         }
         Some(Kind::Exchange(exchange)) => {
+            shared.on_announced(exchange.version, name);
             record_cache_notices(shared, now, exchange.reads.as_ref());
             let loads = loads_from_wire(exchange.loads.as_ref());
             let mut mesh = shared.mesh.borrow_mut();
@@ -317,12 +318,13 @@
     let confirmation_age_ms = in_force.confirmation_age_ms(now);
     let read_at = shared.upstreams_read_at.get();
     let was_read_recently = read_at.is_some_and(|t| now.since(t) < MAX_READ_AGE_MS);
-    let is_confirmed = confirmation_age_ms.is_some_and(|age| age < MAX_CONFIRMATION_AGE_MS);
+    let max_age_ms = shared.settings.borrow().timing.hub_confirmation_ms();
+    let is_confirmed = confirmation_age_ms.is_some_and(|age| age < max_age_ms);
     let changes = shared.recent_changes.borrow();
     MeshSummary {
         sent,
-        fresh: was_read_recently && is_confirmed,
-        version: in_force.table().map_or(0, |t| t.version()),
+        fresh: was_read_recently && is_confirmed && !in_force.has_failed_read(),
+        version: in_force.version(),
         proof_age: confirmation_age_ms.unwrap_or(u64::MAX),
         digest: shared.fleet.borrow().digest(),
         loads: Some(loads_to_wire(&loads)),
@@ -343,6 +345,7 @@
     record_cache_notices(shared, now, summary.reads.as_ref());
     let loads = loads_from_wire(summary.loads.as_ref());
     shared.fleet.borrow_mut().set_remote(&loads);
+    shared.on_announced(summary.version, hub);
     if !summary.fresh {
         return;
     }
@@ -368,14 +371,10 @@
 ///
 /// The hub measures the age of its confirmation when it receives the report, which is after `sent`,
 /// the time at which the report was sent from here. `sent` minus the age is therefore never later
-/// than the hub's confirmation, whatever the delays of the datagrams. If the hub has a newer version,
-/// the task that reads the configuration is woken.
+/// than the hub's confirmation, whatever the delays of the datagrams.
 fn confirm_version(shared: &Shared, summary: &MeshSummary, sent: Millis, hub: &Arc<str>) {
-    let version = shared.in_force.borrow().version();
-    if version == summary.version {
+    if shared.in_force.borrow().version() == summary.version {
         shared.confirm_newest(sent.minus(summary.proof_age), hub);
-    } else if shared.on_announced(summary.version, hub) {
-        shared.newer_version.notify_one();
     }
 }
 
--- a/crates/vanillakeel-entry/src/gateway/settings.rs
+++ b/crates/vanillakeel-entry/src/gateway/settings.rs
@@ -141,6 +141,15 @@
             max_ms
         }
     }
+
+    /// Returns the age, in ms, up to which members rely on the last confirmation of their hub.
+    ///
+    /// It lies half-way between the longest wait of a read and the time limit of a version, so that
+    /// a hub has time for a second read, and then its members for one of their own.
+    #[must_use]
+    pub const fn hub_confirmation_ms(&self) -> u64 {
+        u64::midpoint(self.configuration_read_wait_ms(), self.in_force_ms)
+    }
 }
 
 impl Default for Timing {
--- a/crates/vanillakeel-entry/src/gateway/shared.rs
+++ b/crates/vanillakeel-entry/src/gateway/shared.rs
@@ -104,7 +104,7 @@
     pub(super) confirmed_by: RefCell<Arc<str>>,
     /// Wakes requests that wait until the version in force may be used.
     standing_changed: Notify,
-    /// Wakes the task that reads the configuration when a hub has announced a newer version.
+    /// Wakes the task that reads the configuration when another instance has announced a newer version.
     pub(super) newer_version: Notify,
     /// Time at which a stop was requested.
     pub(super) stopping_since: Cell<Option<Millis>>,
@@ -253,14 +253,17 @@
         }
     }
 
-    /// Records that a hub has announced a version; returns whether it is newer than the one in force.
-    pub(super) fn on_announced(&self, version: u64, hub: &str) -> bool {
+    /// Records the version of another instance; if it is newer than the one in force, the task that
+    /// reads the configuration is woken.
+    pub(super) fn on_announced(&self, version: u64, peer: &str) {
         let mut in_force = self.in_force.borrow_mut();
         if in_force.on_announced(self.clock.now(), version) {
             let in_force = in_force.version();
-            tracing::info!(version, in_force, hub, "newer configuration announced");
+            tracing::info!(version, in_force, peer, "newer configuration announced");
+        }
+        if version > in_force.version() {
+            self.newer_version.notify_one();
         }
-        version > in_force.version()
     }
 
     /// Returns the page of metrics, with gauges of the present state.
--- a/crates/vanillakeel-entry/src/gateway/watch.rs
+++ b/crates/vanillakeel-entry/src/gateway/watch.rs
@@ -80,7 +80,8 @@
         };
         let answer = tokio::select! {
             answer = log_reads::read(shared.clock, &log, req) => answer,
-            // A hub has a newer version: the read that waits for it here may be on a dead connection.
+            // Another instance has a newer version: the read that waits for it here may be on a dead
+            // connection.
             () = shared.newer_version.notified(), if next_offset.is_some() => {
                 next_offset = None;
                 continue;
--- a/crates/vanillakeel-wire/src/generated.rs
+++ b/crates/vanillakeel-wire/src/generated.rs
@@ -259,6 +259,9 @@
     /// Whether the member can accept keys, because its configuration was confirmed recently.
     #[prost(bool, tag = "4")]
     pub confirmed: bool,
+    /// Version of the configuration in force at the member.
+    #[prost(uint64, tag = "5")]
+    pub version: u64,
 }
 /// Prompt segments that upstreams have recently computed; lists of equal length.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -311,6 +314,9 @@
     pub instances: u32,
     #[prost(message, optional, tag = "3")]
     pub reads: ::core::option::Option<MeshReads>,
+    /// Version of the configuration in force at the hub.
+    #[prost(uint64, tag = "4")]
+    pub version: u64,
 }
 /// An upstream as service discovery lists it.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/vanillakeel/src/routes/in_force.rs
+++ b/crates/vanillakeel/src/routes/in_force.rs
@@ -154,9 +154,9 @@
         if self.may_deny(now) {
             return Standing::Confirmed;
         }
-        let is_unreachable = self.failed_read.is_some_and(|(sent_at, failed_at)| {
-            Some(sent_at) >= self.confirmed_at && now.since(failed_at) < self.freshness.version_ms
-        });
+        let is_recent =
+            |(_, failed_at): (_, Millis)| now.since(failed_at) < self.freshness.version_ms;
+        let is_unreachable = self.has_failed_read() && self.failed_read.is_some_and(is_recent);
         let is_superseded = self.announced.is_some_and(|(v, _)| v > self.version());
         if is_unreachable && !is_superseded {
             Standing::Disconnected
@@ -165,6 +165,13 @@
         }
     }
 
+    /// Returns whether a read that was sent after the last confirmation has failed.
+    #[must_use]
+    pub fn has_failed_read(&self) -> bool {
+        self.failed_read
+            .is_some_and(|(sent_at, _)| Some(sent_at) >= self.confirmed_at)
+    }
+
     /// Returns whether keys are accepted: the last confirmation is recent enough that none can have
     /// been revoked long ago without this instance knowing.
     #[must_use]
