fix: ignore answers of hubs that are not to an own report

A hub's answer repeats the time at which the report was sent, by the clock of the process that sent it. A new process at the same address, whose clock starts anew, took a late answer to its predecessor (a hub that was paused, say) as a confirmation in its future, and counted its version as just confirmed for as long as the earlier process had run. A confirmation from before the start became one at the start, since the subtraction saturates. And a member relied on the hub's own word that it is fresh, even if the hub confirms another version.

Now: an id of the report holds a tag of the process beside its clock; answers with another tag or a time to come are counted as bad datagrams; a confirmation from before the start is ignored; a member reads the log itself once the last confirmation that it knows is older than members may rely on.

--- a/crates/vanillakeel-entry/src/gateway/peers.rs
+++ b/crates/vanillakeel-entry/src/gateway/peers.rs
@@ -206,7 +206,7 @@
 fn load_report(shared: &Shared) -> Kind {
     let now = shared.clock.now();
     Kind::Report(MeshReport {
-        sent: now.get(),
+        id: shared.report_ids.id(now),
         loads: Some(loads_to_wire(&shared.fleet.borrow().loads())),
         reads: Some(cache_notices_to_wire(shared, now)),
         confirmed: shared.in_force.borrow().may_use_keys(now),
@@ -285,7 +285,7 @@
                 is_same_data_centre
             };
             if is_same_data_centre && shared.stopping_since.get().is_none() {
-                let summary = summary(shared, now, name, report.sent);
+                let summary = summary(shared, now, name, report.id);
                 send_message(shared, socket, &peer, Kind::Summary(summary)).await;
             }
         }
@@ -304,8 +304,8 @@
 /// Creates the answer to the report of a member.
 ///
 /// It holds the load of all other instances, the recent changes of upstreams and the age of the log
-/// contents here. `sent` is the time at which the member sent the report, by its own clock.
-fn summary(shared: &Shared, now: Millis, member: &str, sent: u64) -> MeshSummary {
+/// contents here.
+fn summary(shared: &Shared, now: Millis, member: &str, report_id: u64) -> MeshSummary {
     let own = shared.fleet.borrow().loads();
     let (loads, instances) = {
         let mesh = shared.mesh.borrow();
@@ -322,7 +322,7 @@
     let is_confirmed = confirmation_age_ms.is_some_and(|age| age < max_age_ms);
     let changes = shared.recent_changes.borrow();
     MeshSummary {
-        sent,
+        report_id,
         fresh: was_read_recently && is_confirmed && !in_force.has_failed_read(),
         version: in_force.version(),
         proof_age: confirmation_age_ms.unwrap_or(u64::MAX),
@@ -336,7 +336,10 @@
 
 /// Applies the answer of a hub; log contents only count if the hub is fresh.
 fn on_summary(shared: &Shared, now: Millis, hub: &Arc<str>, summary: &MeshSummary) {
-    let sent = Millis::new(summary.sent);
+    let Some(sent_at) = shared.report_ids.sent_at(summary.report_id, now) else {
+        shared.metrics.bad_datagrams.inc();
+        return;
+    };
     let received = Summary {
         is_fresh: summary.fresh,
         instances: summary.instances,
@@ -349,7 +352,7 @@
     if !summary.fresh {
         return;
     }
-    confirm_version(shared, summary, sent, hub);
+    confirm_version(shared, summary, sent_at, hub);
     let changes = summary.changes.iter().filter_map(change_from_wire);
     let mut has_changed = false;
     for change in changes {
@@ -369,12 +372,16 @@
 
 /// Confirms the version in force if the hub has confirmed the same version as the newest.
 ///
-/// The hub measures the age of its confirmation when it receives the report, which is after `sent`,
-/// the time at which the report was sent from here. `sent` minus the age is therefore never later
-/// than the hub's confirmation, whatever the delays of the datagrams.
-fn confirm_version(shared: &Shared, summary: &MeshSummary, sent: Millis, hub: &Arc<str>) {
-    if shared.in_force.borrow().version() == summary.version {
-        shared.confirm_newest(sent.minus(summary.proof_age), hub);
+/// The hub measures the age of its confirmation when it receives the report, which is after `sent_at`,
+/// the time at which the report was sent from here. `sent_at` minus the age is therefore never later
+/// than the hub's confirmation, whatever the delays of the datagrams. A confirmation from before the
+/// start of this instance is ignored.
+fn confirm_version(shared: &Shared, summary: &MeshSummary, sent_at: Millis, hub: &Arc<str>) {
+    if shared.in_force.borrow().version() != summary.version {
+        return;
+    }
+    if let Some(read_at) = sent_at.checked_minus(summary.proof_age) {
+        shared.confirm_newest(read_at, hub);
     }
 }
 
--- a/crates/vanillakeel-entry/src/gateway/shared.rs
+++ b/crates/vanillakeel-entry/src/gateway/shared.rs
@@ -15,7 +15,10 @@
     settings::Settings,
     sockets::ConnectionPool, //
 };
-use crate::Clock;
+use crate::{
+    Clock,
+    time::wall_ms, //
+};
 use std::{
     cell::{
         Cell,
@@ -43,7 +46,8 @@
     mesh::{
         self,
         Mesh,
-        Peer, //
+        Peer,
+        ReportIds, //
     },
     order,
     routes::{
@@ -94,6 +98,7 @@
     pub(super) metrics: Metrics,
     line_limiter: LineLimiter,
     pub(super) mesh: RefCell<Mesh>,
+    pub(super) report_ids: ReportIds,
     /// Recent changes of upstreams, for members for which this instance reads the log.
     pub(super) recent_changes: RefCell<Vec<(Millis, UpstreamChange)>>,
     /// Time at which the upstreams were last read from the log.
@@ -150,6 +155,7 @@
             metrics: Metrics::default(),
             line_limiter: LineLimiter::default(),
             mesh: RefCell::new(Mesh::new(me, mesh::Settings::default())),
+            report_ids: ReportIds::new(wall_ms()),
             recent_changes: RefCell::default(),
             upstreams_read_at: Cell::new(None),
             hub_differs_since: Cell::new(None),
--- a/crates/vanillakeel-entry/src/gateway/watch.rs
+++ b/crates/vanillakeel-entry/src/gateway/watch.rs
@@ -56,7 +56,7 @@
     let me = Arc::clone(&shared.mesh.borrow().me().name);
     let mut next_offset = None;
     loop {
-        if next_offset.is_some() && shared.mesh.borrow().is_covered(shared.clock.now()) {
+        if next_offset.is_some() && is_confirmed_by_hub(&shared) {
             let pause = Duration::from_millis(COVERED_POLL_MS);
             if timeout(pause, shared.newer_version.notified())
                 .await
@@ -104,6 +104,16 @@
     }
 }
 
+/// Returns whether a hub covers this instance and has recently confirmed the version in force.
+///
+/// The age of the confirmation is the one known here: a hub may confirm another version or none.
+fn is_confirmed_by_hub(shared: &Shared) -> bool {
+    let now = shared.clock.now();
+    let max_age_ms = shared.settings.borrow().timing.hub_confirmation_ms();
+    let age_ms = shared.in_force.borrow().confirmation_age_ms(now);
+    age_ms.is_some_and(|age| age < max_age_ms) && shared.mesh.borrow().is_covered(now)
+}
+
 /// Puts the configurations of a page in force if they are newer than the present one.
 fn apply_configuration(shared: &Shared, log: &LogAdapter, page: &Page, asked_at: Millis) {
     let is_configuration = |e: &&Entry| e.key == log.configuration_key;
--- a/crates/vanillakeel-wire/src/generated.rs
+++ b/crates/vanillakeel-wire/src/generated.rs
@@ -249,9 +249,9 @@
 /// A load report that a member sends to its hub.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct MeshReport {
-    /// The member's clock, in ms.
+    /// Id that the answer repeats; its low 40 bits are the member's clock, in ms.
     #[prost(uint64, tag = "1")]
-    pub sent: u64,
+    pub id: u64,
     #[prost(message, optional, tag = "2")]
     pub loads: ::core::option::Option<MeshLoads>,
     #[prost(message, optional, tag = "3")]
@@ -276,9 +276,9 @@
 /// The answer of a hub to a report.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct MeshSummary {
-    /// The field `sent` of the report that is answered.
+    /// Id of the report that is answered.
     #[prost(uint64, tag = "1")]
-    pub sent: u64,
+    pub report_id: u64,
     /// Whether the hub reads the log itself and was answered recently.
     #[prost(bool, tag = "2")]
     pub fresh: bool,
--- a/crates/vanillakeel/src/clock.rs
+++ b/crates/vanillakeel/src/clock.rs
@@ -47,6 +47,12 @@
         Self(self.0.saturating_sub(ms))
     }
 
+    /// Returns the time `ms` milliseconds earlier, or `None` if that is before the origin.
+    #[must_use]
+    pub fn checked_minus(self, ms: u64) -> Option<Self> {
+        self.0.checked_sub(ms).map(Self)
+    }
+
     /// Returns the milliseconds that have passed since `earlier`, or zero if `earlier` is later.
     #[must_use]
     pub const fn since(self, earlier: Self) -> u64 {
--- a/crates/vanillakeel/src/mesh.rs
+++ b/crates/vanillakeel/src/mesh.rs
@@ -21,6 +21,7 @@
 //! ```
 
 mod loads;
+mod report_ids;
 mod state;
 
 pub use self::{
@@ -28,6 +29,7 @@
         Load,
         Loads, //
     },
+    report_ids::ReportIds,
     state::{
         Mesh,
         Peer,
