fix: confirm a version only by a page that is complete and can be decoded

Cause, of the same class: each answered read confirmed the version in force, also one whose newest configuration could not be decoded, and each empty read after it; and one that the log had cut before the end of the topic.

Now: a page says whether it reaches the end that the log had; one that does not confirms nothing and is read on at once. While the newest configuration can't be decoded, nothing is confirmed and the log counts as unreachable: the old version serves, and keys, which that configuration may have revoked, are refused as not run after the same time as in an outage.

--- a/crates/vanillakeel-entry/src/gateway/log_adapter.rs
+++ b/crates/vanillakeel-entry/src/gateway/log_adapter.rs
@@ -42,6 +42,8 @@
     pub entries: Vec<Entry>,
     /// Offset after the last record, or the end of the topic when the newest records were read.
     pub next_offset: u64,
+    /// Whether no record follows that the log had when it answered.
+    pub is_up_to_date: bool,
     /// Key after which the next page starts, or `None` on the last page.
     pub continue_after: Option<String>,
 }
--- a/crates/vanillakeel-entry/src/gateway/watch.rs
+++ b/crates/vanillakeel-entry/src/gateway/watch.rs
@@ -55,6 +55,8 @@
     let mut status = TopicStatus::new("configuration");
     let me = Arc::clone(&shared.mesh.borrow().me().name);
     let mut next_offset = None;
+    // Whether the newest configuration that was read could be decoded.
+    let mut is_readable = true;
     loop {
         if next_offset.is_some() && is_confirmed_by_hub(&shared) {
             let pause = Duration::from_millis(COVERED_POLL_MS);
@@ -94,9 +96,18 @@
         status.on_read(&shared, asked_at, &result);
         match result {
             Ok(page) => {
+                let has_progress = next_offset != Some(page.next_offset);
                 next_offset = Some(page.next_offset);
-                apply_configuration(&shared, &log, &page, asked_at);
-                shared.confirm_newest(asked_at, &me);
+                is_readable =
+                    apply_configuration(&shared, &log, &page, asked_at).unwrap_or(is_readable);
+                if !is_readable {
+                    shared.on_read_failed(asked_at);
+                } else if page.is_up_to_date {
+                    shared.confirm_newest(asked_at, &me);
+                }
+                if !page.is_up_to_date && !has_progress {
+                    sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
+                }
             }
             Err(ReadError::Compacted) => next_offset = None,
             Err(_) => sleep(Duration::from_millis(RETRY_PAUSE_MS)).await,
@@ -114,14 +125,23 @@
     age_ms.is_some_and(|age| age < max_age_ms) && shared.mesh.borrow().is_covered(now)
 }
 
-/// Puts the configurations of a page in force if they are newer than the present one.
-fn apply_configuration(shared: &Shared, log: &LogAdapter, page: &Page, asked_at: Millis) {
+/// Puts the configurations of a page in force if they are newer than the present one; returns whether
+/// the last of them could be decoded, or `None` if there is none.
+fn apply_configuration(
+    shared: &Shared,
+    log: &LogAdapter,
+    page: &Page,
+    asked_at: Millis,
+) -> Option<bool> {
+    let mut is_readable = None;
     let is_configuration = |e: &&Entry| e.key == log.configuration_key;
     for entry in page.entries.iter().filter(is_configuration) {
         let Some(value) = &entry.value else {
             continue;
         };
-        match (log.decode_configuration)(value) {
+        let decoded = (log.decode_configuration)(value);
+        is_readable = Some(decoded.is_ok());
+        match decoded {
             Ok(spec) => {
                 let version = spec.version;
                 let previous = shared.in_force.borrow().table().map(|t| t.version());
@@ -143,6 +163,7 @@
             Err(e) => tracing::error!(error = %e, "configuration can't be read; the old one stays"),
         }
     }
+    is_readable
 }
 
 /// Follows the list of upstreams for as long as the process runs.
