fix: upstreams that leave are noticed in time over dead connections

What callers would see: requests reach a draining or removed upstream more than 2,000 ms after its entry changed.

Cause: the upstreams are read over the same kept connections, and a covered member relies on its hub's reads. The age of these counted from the answer instead of from when the read was sent, also for an answer that was cut.

--- a/crates/vanillakeel-entry/src/gateway/shared.rs
+++ b/crates/vanillakeel-entry/src/gateway/shared.rs
@@ -101,7 +101,7 @@
     pub(super) report_ids: ReportIds,
     /// Recent changes of upstreams, for members for which this instance reads the log.
     pub(super) recent_changes: RefCell<Vec<(Millis, UpstreamChange)>>,
-    /// Time at which the upstreams were last read from the log.
+    /// Time at which the last complete read of the upstreams was sent to the log.
     pub(super) upstreams_read_at: Cell<Option<Millis>>,
     /// Time since which the upstreams known to the hub differ from those known here.
     pub(super) hub_differs_since: Cell<Option<Millis>>,
--- a/crates/vanillakeel-entry/src/gateway/watch.rs
+++ b/crates/vanillakeel-entry/src/gateway/watch.rs
@@ -196,12 +196,19 @@
                 if next_offset.is_none() {
                     missing.add_unlisted(&shared, &page);
                 }
+                let has_progress = next_offset != Some(page.next_offset);
                 next_offset = Some(page.next_offset);
-                shared.upstreams_read_at.set(Some(now));
+                if page.is_up_to_date {
+                    shared.upstreams_read_at.set(Some(asked_at));
+                }
                 shared.hub_differs_since.set(None);
                 apply_upstreams(&shared, &log, &page, &mut missing);
                 missing.remove_due(&shared, now);
-                timing.discovery_every_ms
+                match (page.is_up_to_date, has_progress) {
+                    (true, _) => timing.discovery_every_ms,
+                    (false, true) => 0,
+                    (false, false) => RETRY_PAUSE_MS,
+                }
             }
             Err(ReadError::Compacted) => {
                 next_offset = None;
