fix: read the newest upstreams after a time covered by a hub

A member that a hub had covered read on from the offset of its own last read, 13.9 s earlier. The first page listed the upstream again, of which the hub had already told it that it is gone; the removal came later in the history and was held back for 2.2 s, since many upstreams were missing in the first read after an outage, among them some that were long gone.

Now: after a time covered by a hub the newest records are read, never the history; upstreams that are not known do not count as missing.

Ruled out: late reading by the hub (all instances had the removal by 15.6 s).

--- a/crates/vanillakeel-entry/src/gateway/watch.rs
+++ b/crates/vanillakeel-entry/src/gateway/watch.rs
@@ -171,9 +171,13 @@
     let mut status = TopicStatus::new("upstreams");
     let mut missing = MissingUpstreams::default();
     let mut next_offset = None;
+    let mut is_listed = false;
     loop {
         let timing = shared.settings.borrow().timing;
-        if next_offset.is_some() && is_hub_view_current(&shared) {
+        if is_listed && is_hub_view_current(&shared) {
+            // Records that follow the last own read may list upstreams that the hub has removed since,
+            // so the newest ones are read next.
+            next_offset = None;
             sleep(Duration::from_millis(COVERED_POLL_MS)).await;
             sweep_connections(&shared);
             continue;
@@ -198,6 +202,7 @@
                 }
                 let has_progress = next_offset != Some(page.next_offset);
                 next_offset = Some(page.next_offset);
+                is_listed = true;
                 if page.is_up_to_date {
                     shared.upstreams_read_at.set(Some(asked_at));
                 }
@@ -305,7 +310,12 @@
     /// Removes the missing upstreams from the fleet, unless many are missing after an outage of the
     /// log and may still be listed again.
     fn remove_due(&mut self, shared: &Shared, now: Millis) {
-        let known_count = shared.fleet.borrow().iter().count();
+        let known_count = {
+            let fleet = shared.fleet.borrow();
+            self.names
+                .retain(|name| fleet.iter().any(|u| u.name == *name));
+            fleet.iter().count()
+        };
         let is_many = self.names.len() as f64 > known_count as f64 * MAX_REMOVED_FRACTION;
         let is_waiting = now < self.hold_until;
         self.are_many_missing = is_waiting && (self.are_many_missing || is_many);
