feat: a log that comes back from an earlier copy

Before, a reader went on from its offset, missed what took the same offsets anew, and confirmed an outdated version.

Now: a position is an era and an offset. A later era ends all positions, so the newest records are read again before anything is confirmed; an answer of an earlier era changes nothing; a hub with a later one makes its members read. The log confirms only a version that is at least as new as the one in force and all that were announced; until the operator has written it again, instances go on as without the log. Upstreams that the copy lacks are kept for the time that they have after an outage; entries of those that have left since are skipped. Each instance writes its address again. One line and one metric show an era.

--- a/crates/vanillakeel-entry/src/gateway.rs
+++ b/crates/vanillakeel-entry/src/gateway.rs
@@ -53,6 +53,7 @@
         Entry,
         LogAdapter,
         Page,
+        Position,
         ReadError,
         Topic, //
     },
--- a/crates/vanillakeel-entry/src/gateway/log_adapter.rs
+++ b/crates/vanillakeel-entry/src/gateway/log_adapter.rs
@@ -46,6 +46,21 @@
     pub is_up_to_date: bool,
     /// Key after which the next page starts, or `None` on the last page.
     pub continue_after: Option<String>,
+    /// Era of the log; see [`Position`].
+    pub era: u64,
+}
+
+/// A position in a topic.
+///
+/// The era of a log rises each time that the log comes back from an earlier copy of its contents.
+/// Records that were written after the copy are then lost, and their offsets are given out again, so
+/// an offset means nothing in a later era.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Position {
+    /// Era in which the offset was given out.
+    pub era: u64,
+    /// Offset of the next record to read.
+    pub offset: u64,
 }
 
 /// Reason why a call to the log failed.
--- a/crates/vanillakeel-entry/src/gateway/log_reads.rs
+++ b/crates/vanillakeel-entry/src/gateway/log_reads.rs
@@ -140,6 +140,9 @@
     // read follow after it.
     while let Some(after) = all.continue_after.take() {
         let page = (log.read_newest)(topic, Some(after)).await?;
+        if page.era != all.era {
+            return Err(ReadError::Compacted);
+        }
         all.entries.extend(page.entries);
         all.continue_after = page.continue_after;
     }
--- a/crates/vanillakeel-entry/src/gateway/metrics.rs
+++ b/crates/vanillakeel-entry/src/gateway/metrics.rs
@@ -66,6 +66,7 @@
     pub(super) late_confirmations: Counter,
     pub(super) bad_datagrams: Counter,
     pub(super) version: Gauge,
+    pub(super) log_era: Gauge,
     pub(super) confirmation_age_ms: Gauge,
     pub(super) upstreams: Gauge,
     pub(super) peers: Gauge,
@@ -88,6 +89,7 @@
             late_confirmations: Counter::default(),
             bad_datagrams: Counter::default(),
             version: Gauge::default(),
+            log_era: Gauge::default(),
             confirmation_age_ms: Gauge::default(),
             upstreams: Gauge::default(),
             peers: Gauge::default(),
@@ -163,6 +165,11 @@
             "Time since the configuration in force was confirmed as the newest",
             self.confirmation_age_ms.clone(),
         );
+        registry.register(
+            "log_era",
+            "How often the log has come back from an earlier copy",
+            self.log_era.clone(),
+        );
         registry.register("upstreams", "Upstreams known", self.upstreams.clone());
         registry.register("peers", "Other instances known", self.peers.clone());
         registry.register(
--- a/crates/vanillakeel-entry/src/gateway/peers.rs
+++ b/crates/vanillakeel-entry/src/gateway/peers.rs
@@ -87,10 +87,7 @@
             me.link_mbps, me.data_centre
         ))),
     };
-    while let Err(e) = (log.write)(Topic::Peers, entry.clone()).await {
-        tracing::warn!(error = %e, "the address of this instance could not be written to the log");
-        sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
-    }
+    write_address(log, &entry).await;
     let mut after = None;
     loop {
         match (log.read_newest)(Topic::Peers, after.clone()).await {
@@ -113,6 +110,23 @@
         }
     }
     tracing::info!(peers = shared.mesh.borrow().len(), "peers known");
+    loop {
+        // The address may have been written after the copy from which the log came back.
+        shared.era_risen.notified().await;
+        if shared.stopping_since.get().is_some() {
+            return;
+        }
+        write_address(log, &entry).await;
+    }
+}
+
+/// Writes the address of this instance to the log; tries again until the log has answered.
+async fn write_address(log: &LogAdapter, entry: &Entry) {
+    while let Err(e) = (log.write)(Topic::Peers, entry.clone()).await {
+        tracing::warn!(error = %e, "the address of this instance could not be written to the log");
+        (log.drop_idle)();
+        sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
+    }
 }
 
 /// Announces to the hubs that this instance is stopping, and deletes its address from the log.
@@ -332,6 +346,7 @@
         changes: changes.iter().map(|(_, c)| change_to_wire(c)).collect(),
         instances,
         reads: Some(cache_notices_to_wire(shared, now)),
+        log_era: shared.log_era(),
     }
 }
 
@@ -350,7 +365,11 @@
     let loads = loads_from_wire(summary.loads.as_ref());
     shared.fleet.borrow_mut().set_remote(&loads);
     shared.on_announced(summary.version, hub);
-    if !summary.fresh {
+    if summary.log_era > shared.log_era() {
+        // The log itself shows its era to the task that reads the configuration.
+        shared.newer_version.notify_one();
+    }
+    if summary.log_era < shared.log_era() || !summary.fresh {
         return;
     }
     confirm_version(shared, summary, sent_at, hub);
--- a/crates/vanillakeel-entry/src/gateway/shared.rs
+++ b/crates/vanillakeel-entry/src/gateway/shared.rs
@@ -72,11 +72,24 @@
 /// the log, for example after a pause of the process.
 const MAX_UNCONFIRMED_WAIT_MS: u64 = 100;
 
+/// Time for which removed upstreams are remembered, in ms: longer than a copy from which the log comes
+/// back is old.
+const REMOVAL_REMEMBERED_MS: u64 = 60_000;
+
 /// Time for which a hub repeats the change of an upstream to its members, in ms.
 ///
 /// The repetition makes up for lost datagrams.
 const CHANGE_ANNOUNCED_MS: u64 = 3_000;
 
+/// Returns the limits on the age of a confirmation that the settings give.
+const fn freshness_of(settings: &Settings) -> Freshness {
+    let timing = settings.timing;
+    Freshness {
+        keys_ms: timing.revoked_ms.saturating_sub(FRESHNESS_MARGIN_MS),
+        version_ms: timing.in_force_ms,
+    }
+}
+
 /// A change of an upstream that discovery has shown.
 #[derive(Clone, Debug)]
 pub(super) struct UpstreamChange {
@@ -109,6 +122,12 @@
     pub(super) confirmed_by: RefCell<Arc<str>>,
     /// Wakes requests that wait until the version in force may be used.
     standing_changed: Notify,
+    /// Latest era of the log that an answer has shown, or `None` before the first answer.
+    log_era: Cell<Option<u64>>,
+    /// Wakes the tasks that read or write the log when its era has risen.
+    pub(super) era_risen: Notify,
+    /// Upstreams that were removed recently, with their incarnation and the time of the removal.
+    removed_upstreams: RefCell<Vec<(Arc<str>, u64, Millis)>>,
     /// Wakes the task that reads the configuration when another instance has announced a newer version.
     pub(super) newer_version: Notify,
     /// Time at which a stop was requested.
@@ -126,13 +145,6 @@
 impl Shared {
     /// Creates the state of an instance that has read nothing yet.
     pub(super) fn new(settings: Settings, header_names: HeaderNames) -> Rc<Self> {
-        let freshness = Freshness {
-            keys_ms: settings
-                .timing
-                .revoked_ms
-                .saturating_sub(FRESHNESS_MARGIN_MS),
-            version_ms: settings.timing.in_force_ms,
-        };
         let fleet = fleet::Settings {
             data_centre: Arc::from(&*settings.instance.data_centre),
             ..fleet::Settings::default()
@@ -147,8 +159,8 @@
         Rc::new(Self {
             clock: Clock::start(),
             header_names,
+            in_force: RefCell::new(InForce::new(freshness_of(&settings))),
             settings: RefCell::new(settings),
-            in_force: RefCell::new(InForce::new(freshness)),
             fleet: RefCell::new(Fleet::new(fleet, seed)),
             connection_pool: RefCell::default(),
             retry_budgets: RefCell::default(),
@@ -161,6 +173,9 @@
             hub_differs_since: Cell::new(None),
             confirmed_by: RefCell::new(Arc::from("")),
             standing_changed: Notify::new(),
+            log_era: Cell::new(None),
+            era_risen: Notify::new(),
+            removed_upstreams: RefCell::default(),
             newer_version: Notify::new(),
             stopping_since: Cell::new(None),
             is_closing: Cell::new(false),
@@ -170,6 +185,13 @@
         })
     }
 
+    /// Replaces the settings; those that only count at the start have no effect.
+    pub(super) fn set_settings(&self, settings: Settings) {
+        let freshness = freshness_of(&settings);
+        self.in_force.borrow_mut().set_freshness(freshness);
+        *self.settings.borrow_mut() = settings;
+    }
+
     /// Returns the timeouts of a new connection.
     pub(super) fn connection_timeouts(&self) -> ConnectionTimeouts {
         let timing = self.settings.borrow().timing;
@@ -223,6 +245,44 @@
         }
     }
 
+    /// Returns the latest known era of the log, or 0 before the first answer.
+    pub(super) fn log_era(&self) -> u64 {
+        self.log_era.get().unwrap_or(0)
+    }
+
+    /// Records the era of an answer of the log; returns whether it is the present era.
+    ///
+    /// An answer of an earlier era was late and says nothing about the present contents of the log.
+    /// When the era rises, all tasks have to read the newest records again.
+    pub(super) fn on_log_era(&self, era: u64) -> bool {
+        let known = self.log_era.get();
+        if known < Some(era) {
+            self.log_era.set(Some(era));
+            self.metrics.log_era.set(era.cast_signed());
+            if let Some(previous) = known {
+                tracing::warn!(
+                    era,
+                    previous,
+                    version = self.in_force.borrow().version(),
+                    "log came back from an earlier copy; reading the newest records again"
+                );
+                self.era_risen.notify_waiters();
+            }
+        }
+        known <= Some(era)
+    }
+
+    /// Returns whether an upstream was removed a short time ago, so that an entry of an earlier copy of
+    /// the log is out of date.
+    pub(super) fn was_removed(&self, listed: &ListedUpstream) -> bool {
+        self.removed_upstreams
+            .borrow()
+            .iter()
+            .any(|(name, incarnation, _)| {
+                *name == listed.name && *incarnation == listed.incarnation
+            })
+    }
+
     /// Records that the configuration could not be read on a new connection.
     pub(super) fn on_read_failed(&self, sent_at: Millis) {
         let now = self.clock.now();
@@ -323,6 +383,11 @@
         if let Some(listed) = listed {
             self.fleet.borrow_mut().on_removed(name);
             tracing::info!(upstream = name, "upstream gone");
+            let now = self.clock.now();
+            let mut removed = self.removed_upstreams.borrow_mut();
+            removed.retain(|(_, _, at)| now.since(*at) < REMOVAL_REMEMBERED_MS);
+            removed.push((Arc::clone(&listed.name), listed.incarnation, now));
+            drop(removed);
             self.record_change(listed, true);
         }
     }
--- a/crates/vanillakeel-entry/src/gateway/watch.rs
+++ b/crates/vanillakeel-entry/src/gateway/watch.rs
@@ -9,6 +9,7 @@
         Entry,
         LogAdapter,
         Page,
+        Position,
         ReadError,
         Topic, //
     },
@@ -54,11 +55,11 @@
 pub(super) async fn follow_configuration(shared: Rc<Shared>, log: LogAdapter) {
     let mut status = TopicStatus::new("configuration");
     let me = Arc::clone(&shared.mesh.borrow().me().name);
-    let mut next_offset = None;
-    // Whether the newest configuration that was read could be decoded.
-    let mut is_readable = true;
+    let mut position: Option<Position> = None;
+    let mut newest = NewestRead::default();
     loop {
-        if next_offset.is_some() && is_confirmed_by_hub(&shared) {
+        position = position.filter(|p| p.era == shared.log_era());
+        if position.is_some() && is_confirmed_by_hub(&shared) {
             let pause = Duration::from_millis(COVERED_POLL_MS);
             if timeout(pause, shared.newer_version.notified())
                 .await
@@ -66,14 +67,14 @@
             {
                 continue;
             }
-            next_offset = None;
+            position = None;
         }
         let is_retry = status.is_lost();
         let timing = shared.settings.borrow().timing;
         let req = ReadRequest {
             topic: Topic::Configuration,
-            from: next_offset,
-            wait_ms: if is_retry || next_offset.is_none() {
+            from: position.map(|p| p.offset),
+            wait_ms: if is_retry || position.is_none() {
                 0
             } else {
                 timing.configuration_read_wait_ms()
@@ -84,10 +85,11 @@
             answer = log_reads::read(shared.clock, &log, req) => answer,
             // Another instance has a newer version: the read that waits for it here may be on a dead
             // connection.
-            () = shared.newer_version.notified(), if next_offset.is_some() => {
-                next_offset = None;
+            () = shared.newer_version.notified(), if position.is_some() => {
+                position = None;
                 continue;
             }
+            () = shared.era_risen.notified(), if position.is_some() => continue,
         };
         if answer.shows_unreachable_log(shared.clock.now(), timing.store_answer_ms) {
             shared.on_read_failed(answer.asked_at);
@@ -95,12 +97,16 @@
         let Answer { asked_at, result } = answer;
         status.on_read(&shared, asked_at, &result);
         match result {
+            Ok(page) if !is_usable(&shared, &page, position) => position = None,
             Ok(page) => {
-                let has_progress = next_offset != Some(page.next_offset);
-                next_offset = Some(page.next_offset);
-                is_readable =
-                    apply_configuration(&shared, &log, &page, asked_at).unwrap_or(is_readable);
-                if !is_readable {
+                let next = Position {
+                    era: page.era,
+                    offset: page.next_offset,
+                };
+                let has_progress = position != Some(next);
+                position = Some(next);
+                newest.on_page(&page, apply_configuration(&shared, &log, &page, asked_at));
+                if !newest.shows(newest_known(&shared, asked_at)) {
                     shared.on_read_failed(asked_at);
                 } else if page.is_up_to_date {
                     shared.confirm_newest(asked_at, &me);
@@ -109,12 +115,60 @@
                     sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
                 }
             }
-            Err(ReadError::Compacted) => next_offset = None,
+            Err(ReadError::Compacted) => position = None,
             Err(_) => sleep(Duration::from_millis(RETRY_PAUSE_MS)).await,
         }
     }
 }
 
+/// Returns whether a page belongs to the present era of the log, as does the position that it was read
+/// from, if any.
+fn is_usable(shared: &Shared, page: &Page, position: Option<Position>) -> bool {
+    shared.on_log_era(page.era) && position.is_none_or(|p| p.era == page.era)
+}
+
+/// Returns the newest version that was in force anywhere, as far as was known at `asked_at`.
+fn newest_known(shared: &Shared, asked_at: Millis) -> u64 {
+    let in_force = shared.in_force.borrow();
+    let announced = in_force.announced().filter(|(_, at)| *at <= asked_at);
+    in_force.version().max(announced.map_or(0, |(v, _)| v))
+}
+
+/// What the log has shown of the newest configuration in its present era.
+#[derive(Debug, Default)]
+struct NewestRead {
+    era: u64,
+    /// Newest version that was read in this era, or 0 without one.
+    version: u64,
+    /// Whether the last configuration that was read could not be decoded.
+    is_unreadable: bool,
+}
+
+impl NewestRead {
+    /// Records a page with the version of its last configuration: `None` if there is none, an error if
+    /// it could not be decoded.
+    fn on_page(&mut self, page: &Page, last: Option<Result<u64, ()>>) {
+        if page.era != self.era {
+            *self = Self {
+                era: page.era,
+                ..Self::default()
+            };
+        }
+        if let Some(last) = last {
+            self.is_unreadable = last.is_err();
+            self.version = self.version.max(last.unwrap_or(0));
+        }
+    }
+
+    /// Returns whether the log shows that `version` is the newest.
+    ///
+    /// After the log came back from a copy, it may hold an older version until the operator has written
+    /// the newest one again.
+    const fn shows(&self, version: u64) -> bool {
+        !self.is_unreadable && self.version >= version
+    }
+}
+
 /// Returns whether a hub covers this instance and has recently confirmed the version in force.
 ///
 /// The age of the confirmation is the one known here: a hub may confirm another version or none.
@@ -125,22 +179,22 @@
     age_ms.is_some_and(|age| age < max_age_ms) && shared.mesh.borrow().is_covered(now)
 }
 
-/// Puts the configurations of a page in force if they are newer than the present one; returns whether
-/// the last of them could be decoded, or `None` if there is none.
+/// Puts the configurations of a page in force if they are newer than the present one; returns the
+/// version of the last of them, an error if it could not be decoded, or `None` if there is none.
 fn apply_configuration(
     shared: &Shared,
     log: &LogAdapter,
     page: &Page,
     asked_at: Millis,
-) -> Option<bool> {
-    let mut is_readable = None;
+) -> Option<Result<u64, ()>> {
+    let mut last = None;
     let is_configuration = |e: &&Entry| e.key == log.configuration_key;
     for entry in page.entries.iter().filter(is_configuration) {
         let Some(value) = &entry.value else {
             continue;
         };
         let decoded = (log.decode_configuration)(value);
-        is_readable = Some(decoded.is_ok());
+        last = Some(decoded.as_ref().map(|spec| spec.version).map_err(|_| ()));
         match decoded {
             Ok(spec) => {
                 let version = spec.version;
@@ -163,28 +217,32 @@
             Err(e) => tracing::error!(error = %e, "configuration can't be read; the old one stays"),
         }
     }
-    is_readable
+    last
 }
 
 /// Follows the list of upstreams for as long as the process runs.
 pub(super) async fn follow_upstreams(shared: Rc<Shared>, log: LogAdapter) {
     let mut status = TopicStatus::new("upstreams");
     let mut missing = MissingUpstreams::default();
-    let mut next_offset = None;
-    let mut is_listed = false;
+    let mut position: Option<Position> = None;
+    // Era of the log in which the complete list was read.
+    let mut listed_era = None;
+    let mut outdated = Vec::new();
     loop {
         let timing = shared.settings.borrow().timing;
-        if is_listed && is_hub_view_current(&shared) {
+        position = position.filter(|p| p.era == shared.log_era());
+        if listed_era == Some(shared.log_era()) && is_hub_view_current(&shared) {
             // Records that follow the last own read may list upstreams that the hub has removed since,
             // so the newest ones are read next.
-            next_offset = None;
-            sleep(Duration::from_millis(COVERED_POLL_MS)).await;
+            position = None;
+            let pause = Duration::from_millis(COVERED_POLL_MS);
+            let _ = timeout(pause, shared.era_risen.notified()).await;
             sweep_connections(&shared);
             continue;
         }
         let req = ReadRequest {
             topic: Topic::Upstreams,
-            from: next_offset,
+            from: position.map(|p| p.offset),
             is_retry: status.is_lost(),
             ..ReadRequest::default()
         };
@@ -192,22 +250,37 @@
         status.on_read(&shared, asked_at, &result);
         let now = shared.clock.now();
         let pause_ms = match result {
+            Ok(page) if !is_usable(&shared, &page, position) => {
+                position = None;
+                0
+            }
             Ok(page) => {
                 if status.was_lost {
                     missing.hold_until = now.plus(timing.relisted_ms);
                     status.was_lost = false;
                 }
-                if next_offset.is_none() {
+                let is_copy = listed_era
+                    .replace(page.era)
+                    .is_some_and(|era| era != page.era);
+                let is_list = position.is_none();
+                if is_copy {
+                    missing.add_missing_in_copy(&shared, &page, now.plus(timing.relisted_ms));
+                    outdated = outdated_entries(&shared, &log, &page);
+                } else if is_list {
                     missing.add_unlisted(&shared, &page);
                 }
-                let has_progress = next_offset != Some(page.next_offset);
-                next_offset = Some(page.next_offset);
-                is_listed = true;
+                let next = Position {
+                    era: page.era,
+                    offset: page.next_offset,
+                };
+                let has_progress = position != Some(next);
+                position = Some(next);
                 if page.is_up_to_date {
                     shared.upstreams_read_at.set(Some(asked_at));
                 }
                 shared.hub_differs_since.set(None);
-                apply_upstreams(&shared, &log, &page, &mut missing);
+                let skipped = if is_list { &*outdated } else { &[] };
+                apply_upstreams(&shared, &log, &page, skipped, &mut missing);
                 missing.remove_due(&shared, now);
                 match (page.is_up_to_date, has_progress) {
                     (true, _) => timing.discovery_every_ms,
@@ -216,20 +289,47 @@
                 }
             }
             Err(ReadError::Compacted) => {
-                next_offset = None;
+                position = None;
                 0
             }
             Err(_) => RETRY_PAUSE_MS,
         };
         sweep_connections(&shared);
-        sleep(Duration::from_millis(pause_ms)).await;
+        let pause = Duration::from_millis(pause_ms);
+        // A rise of the era ends the pause.
+        let _ = timeout(pause, shared.era_risen.notified()).await;
+    }
+}
+
+/// Returns the entries of an earlier copy of the list whose upstreams have left since.
+///
+/// An upstream that has not left writes its entry again.
+fn outdated_entries(shared: &Shared, log: &LogAdapter, page: &Page) -> Vec<Entry> {
+    let has_left = |entry: &&Entry| {
+        let value = entry.value.as_deref().unwrap_or_default();
+        let listed = (log.decode_upstream)(&entry.key, value);
+        listed.is_ok_and(|listed| shared.was_removed(&listed))
+    };
+    let outdated: Vec<_> = page.entries.iter().filter(has_left).cloned().collect();
+    for entry in &outdated {
+        tracing::info!(
+            upstream = entry.key,
+            "entry of an earlier copy skipped; the upstream has left"
+        );
     }
+    outdated
 }
 
-/// Applies the entries of a page to the list of upstreams.
-fn apply_upstreams(shared: &Shared, log: &LogAdapter, page: &Page, missing: &mut MissingUpstreams) {
+/// Applies the entries of a page to the list of upstreams, without those that are `skipped`.
+fn apply_upstreams(
+    shared: &Shared,
+    log: &LogAdapter,
+    page: &Page,
+    skipped: &[Entry],
+    missing: &mut MissingUpstreams,
+) {
     let mut has_changed = false;
-    for entry in &page.entries {
+    for entry in page.entries.iter().filter(|e| !skipped.contains(e)) {
         let Some(value) = &entry.value else {
             missing.add(&entry.key);
             continue;
@@ -281,6 +381,10 @@
     hold_until: Millis,
     /// Whether many upstreams have been missing at once since the outage; none is removed then.
     are_many_missing: bool,
+    /// Upstreams that are missing in the copy from which the log came back. Their entries may have been
+    /// lost, so they count as removed only after [`Self::lost_until`].
+    lost: Vec<Arc<str>>,
+    lost_until: Millis,
 }
 
 impl MissingUpstreams {
@@ -294,22 +398,31 @@
         if let Ok(at) = self.names.binary_search_by(|n| (**n).cmp(name)) {
             self.names.remove(at);
         }
+        self.lost.retain(|n| **n != *name);
     }
 
     /// Adds all known upstreams that a complete list does not contain.
     fn add_unlisted(&mut self, shared: &Shared, page: &Page) {
-        let mut listed: Vec<&str> = page.entries.iter().map(|e| &*e.key).collect();
-        listed.sort_unstable();
-        for upstream in shared.fleet.borrow().iter() {
-            if listed.binary_search(&&*upstream.name).is_err() {
-                self.add(&upstream.name);
-            }
+        for name in unlisted(shared, page) {
+            self.add(&name);
         }
     }
 
+    /// Adds all known upstreams that an earlier copy of the list does not contain; they are kept until
+    /// `until`, so that they can write their entries again.
+    fn add_missing_in_copy(&mut self, shared: &Shared, page: &Page, until: Millis) {
+        self.lost = unlisted(shared, page);
+        self.lost_until = until;
+    }
+
     /// Removes the missing upstreams from the fleet, unless many are missing after an outage of the
     /// log and may still be listed again.
     fn remove_due(&mut self, shared: &Shared, now: Millis) {
+        if now >= self.lost_until {
+            for name in std::mem::take(&mut self.lost) {
+                self.add(&name);
+            }
+        }
         let known_count = {
             let fleet = shared.fleet.borrow();
             self.names
@@ -328,6 +441,19 @@
     }
 }
 
+/// Returns the known upstreams that a complete list does not contain.
+fn unlisted(shared: &Shared, page: &Page) -> Vec<Arc<str>> {
+    let mut listed: Vec<&str> = page.entries.iter().map(|e| &*e.key).collect();
+    listed.sort_unstable();
+    let fleet = shared.fleet.borrow();
+    let is_unlisted = |name: &Arc<str>| listed.binary_search(&&**name).is_err();
+    fleet
+        .iter()
+        .map(|u| Arc::clone(&u.name))
+        .filter(is_unlisted)
+        .collect()
+}
+
 /// State of the reads of a topic, for the log lines about an outage.
 #[derive(Debug)]
 struct TopicStatus {
--- a/crates/vanillakeel-wire/src/generated.rs
+++ b/crates/vanillakeel-wire/src/generated.rs
@@ -303,6 +303,9 @@
     pub instances: u32,
     #[prost(message, optional, tag = "9")]
     pub reads: ::core::option::Option<MeshReads>,
+    /// Era of the log that the hub has read.
+    #[prost(uint64, tag = "10")]
+    pub log_era: u64,
 }
 /// The totals that a hub sends to the hubs of other data centres.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/vanillakeel/src/routes/in_force.rs
+++ b/crates/vanillakeel/src/routes/in_force.rs
@@ -79,6 +79,11 @@
         }
     }
 
+    /// Changes the limits on the age of the last confirmation.
+    pub const fn set_freshness(&mut self, freshness: Freshness) {
+        self.freshness = freshness;
+    }
+
     /// Puts a version in force if it is newer than the present one; returns whether it is.
     pub fn install(&mut self, table: Table) -> bool {
         let is_newer = self
