fix: the use of a version follows in_force_ms when the settings are read again

Cause, of the same class: after SIGHUP, hubs, members and the wait of reads followed the new in_force_ms and revoked_ms, while a version was used by the old ones. With a longer limit members would rely on a hub for longer than a version may be used, with a shorter one a version would be used for too long.

Now: the limits of the version in force change with the settings.

Evidence: unconfirmed_versions::changed_limits. Read in the code; no run showed a wrong route.

--- a/crates/vanillakeel-entry/src/gateway/stop.rs
+++ b/crates/vanillakeel-entry/src/gateway/stop.rs
@@ -96,7 +96,7 @@
     match Settings::read(settings_path) {
         Ok(settings) => {
             let has_listen_changed = settings.listen != shared.settings.borrow().listen;
-            *shared.settings.borrow_mut() = settings;
+            shared.set_settings(settings);
             tracing::info!(is_moved = has_listen_changed, "settings read again");
         }
         Err(e) => tracing::error!(error = %e, "settings can't be read; the old ones stay in force"),
--- a/crates/vanillakeel/tests/unconfirmed_versions.rs
+++ b/crates/vanillakeel/tests/unconfirmed_versions.rs
@@ -81,3 +81,17 @@
     in_force.install(table(1));
     assert_eq!(in_force.standing(Millis::ZERO), Standing::Unconfirmed);
 }
+
+/// Guards against settings that are read again and change how long hubs and reads rely on a
+/// confirmation, but not how long a version is used.
+#[test]
+fn changed_limits() {
+    let mut in_force = in_force();
+    let now = CONFIRMED_AT.plus(600);
+    assert_eq!(in_force.standing(now), Standing::Confirmed);
+    in_force.set_freshness(Freshness {
+        keys_ms: 5_000,
+        version_ms: 500,
+    });
+    assert_eq!(in_force.standing(now), Standing::Unconfirmed);
+}
