fix: bound what a failure and an announcement count for

Found on reading the change: a read after a failed one could still take a kept connection that the other topic's reads had opened, and its failure would have counted as evidence that the log is unreachable; a wrong announcement of a version would have kept an instance from confirming its own for good; with an in_force_ms below 1,250 ms the evidence of a lost log ran out between two reads; an era that rose while the address was being written was missed.

Now: a read after a failed one drops all kept connections first; an announcement that the log does not show counts for 10 s; a failure counts for 3 s; the address is written again if the era has risen since the write began.

--- a/crates/vanillakeel-entry/src/gateway/log_reads.rs
+++ b/crates/vanillakeel-entry/src/gateway/log_reads.rs
@@ -35,7 +35,7 @@
     pub(super) from: Option<u64>,
     /// Time for which the log waits for the first record, in ms.
     pub(super) wait_ms: u64,
-    /// Whether the read before this one got no answer, so that no kept connection is left.
+    /// Whether the read before this one failed; this one then uses a new connection at once.
     pub(super) is_retry: bool,
 }
 
@@ -80,6 +80,9 @@
 
 /// Reads from the log; repeats the read once on a new connection if the answer is late or missing.
 pub(super) async fn read(clock: Clock, log: &LogAdapter, req: ReadRequest) -> Answer {
+    if req.is_retry {
+        (log.drop_idle)();
+    }
     let mut first = Box::pin(send(clock, log, req));
     let due = Duration::from_millis(req.wait_ms + ANSWER_DUE_MS);
     let answer = if req.is_retry {
--- a/crates/vanillakeel-entry/src/gateway/peers.rs
+++ b/crates/vanillakeel-entry/src/gateway/peers.rs
@@ -87,6 +87,7 @@
             me.link_mbps, me.data_centre
         ))),
     };
+    let mut written_in = shared.log_era();
     write_address(log, &entry).await;
     let mut after = None;
     loop {
@@ -110,12 +111,14 @@
         }
     }
     tracing::info!(peers = shared.mesh.borrow().len(), "peers known");
-    loop {
-        // The address may have been written after the copy from which the log came back.
-        shared.era_risen.notified().await;
-        if shared.stopping_since.get().is_some() {
-            return;
+    // The address may have been written after the copy from which the log came back.
+    while shared.stopping_since.get().is_none() {
+        let era_risen = shared.era_risen.notified();
+        if written_in == shared.log_era() {
+            era_risen.await;
+            continue;
         }
+        written_in = shared.log_era();
         write_address(log, &entry).await;
     }
 }
--- a/crates/vanillakeel-entry/src/gateway/watch.rs
+++ b/crates/vanillakeel-entry/src/gateway/watch.rs
@@ -130,8 +130,9 @@
 /// Returns the newest version that was in force anywhere, as far as was known at `asked_at`.
 fn newest_known(shared: &Shared, asked_at: Millis) -> u64 {
     let in_force = shared.in_force.borrow();
-    let announced = in_force.announced().filter(|(_, at)| *at <= asked_at);
-    in_force.version().max(announced.map_or(0, |(v, _)| v))
+    in_force
+        .superseded_by(asked_at)
+        .unwrap_or_else(|| in_force.version())
 }
 
 /// What the log has shown of the newest configuration in its present era.
--- a/crates/vanillakeel/src/routes/in_force.rs
+++ b/crates/vanillakeel/src/routes/in_force.rs
@@ -21,6 +21,14 @@
 use crate::Millis;
 use std::rc::Rc;
 
+/// Time for which a failed read shows that the log can't be reached, in ms: longer than the pause
+/// between two reads that fail.
+const FAILURE_TTL_MS: u64 = 3_000;
+
+/// Time for which an announced version counts that the log does not show, in ms. An operator writes a
+/// version again that the log has lost; any other announcement is wrong.
+const ANNOUNCEMENT_TTL_MS: u64 = 10_000;
+
 /// Limits of an [`InForce`] on the age of the last confirmation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Freshness {
@@ -143,6 +151,14 @@
         self.announced
     }
 
+    /// Returns the newest version that was announced up to `now`, if it is newer than the one in force.
+    #[must_use]
+    pub fn superseded_by(&self, now: Millis) -> Option<u64> {
+        let (version, heard_at) = self.announced?;
+        let counts = heard_at <= now && now.since(heard_at) < ANNOUNCEMENT_TTL_MS;
+        (counts && version > self.version()).then_some(version)
+    }
+
     /// Returns the time since the last confirmation, in ms, or `None` without one.
     #[must_use]
     pub fn confirmation_age_ms(&self, now: Millis) -> Option<u64> {
@@ -159,11 +175,9 @@
         if self.may_deny(now) {
             return Standing::Confirmed;
         }
-        let is_recent =
-            |(_, failed_at): (_, Millis)| now.since(failed_at) < self.freshness.version_ms;
+        let is_recent = |(_, failed_at): (_, Millis)| now.since(failed_at) < FAILURE_TTL_MS;
         let is_unreachable = self.has_failed_read() && self.failed_read.is_some_and(is_recent);
-        let is_superseded = self.announced.is_some_and(|(v, _)| v > self.version());
-        if is_unreachable && !is_superseded {
+        if is_unreachable && self.superseded_by(now).is_none() {
             Standing::Disconnected
         } else {
             Standing::Unconfirmed
--- a/crates/vanillakeel/tests/unconfirmed_versions.rs
+++ b/crates/vanillakeel/tests/unconfirmed_versions.rs
@@ -40,7 +40,7 @@
 #[case::failed_read(2_000, Some((1_000, 1_400)), Standing::Disconnected)]
 #[case::sent_with_confirmation(2_000, Some((0, 400)), Standing::Disconnected)]
 #[case::late_failure(2_000, Some((1_000, 1_999)), Standing::Disconnected)]
-#[case::old_failure(9_000, Some((1_000, 1_400)), Standing::Unconfirmed)]
+#[case::old_failure(4_400, Some((1_000, 1_400)), Standing::Unconfirmed)]
 fn age(#[case] now_ms: u64, #[case] failed_read: Option<(u64, u64)>, #[case] expected: Standing) {
     let mut in_force = in_force();
     if let Some((sent_ms, failed_ms)) = failed_read {
@@ -74,6 +74,19 @@
     assert_eq!(in_force.standing(now), Standing::Disconnected);
 }
 
+/// Guards against a wrong announcement that keeps an instance from confirming its version for good.
+#[rstest]
+#[case::before(0, None)]
+#[case::heard(1_000, Some(7))]
+#[case::last_moment(10_999, Some(7))]
+#[case::never_shown_by_log(11_000, None)]
+fn superseded(#[case] now_ms: u64, #[case] expected: Option<u64>) {
+    let mut in_force = in_force();
+    in_force.on_announced(CONFIRMED_AT.plus(1_000), 7);
+    let now = CONFIRMED_AT.plus(now_ms);
+    assert_eq!(in_force.superseded_by(now), expected);
+}
+
 /// Guards against a version that was never confirmed.
 #[test]
 fn never_confirmed() {
