fix: refuse at once where waiting is in vain, and let hubs count without gaps

An instance that knew of a newer version and could not reach the log held each request for 100 ms before it refused it (671 of 806 refusals), although nothing could confirm its version. It also refused when no other instance could do better. And in normal operation a hub was not fresh for some ms of each read: a confirmation becomes as old as two reads take (1,348 ms), the limit was 1,333 ms, so members read the log themselves.

Now: such a version is superseded: refused at once if other instances have a confirmed one, used otherwise. The limit for hubs lies between the duration of two reads and in_force_ms (1,666 ms by default).

--- a/crates/vanillakeel-entry/src/gateway/peers.rs
+++ b/crates/vanillakeel-entry/src/gateway/peers.rs
@@ -38,6 +38,7 @@
         Peer,
         Summary, //
     },
+    routes::Standing,
 };
 use vanillakeel_wire::{
     Message as _,
@@ -227,7 +228,7 @@
         id: shared.report_ids.id(now),
         loads: Some(loads_to_wire(&shared.fleet.borrow().loads())),
         reads: Some(cache_notices_to_wire(shared, now)),
-        confirmed: shared.in_force.borrow().may_use_keys(now),
+        confirmed: shared.in_force.borrow().standing(now) == Standing::Confirmed,
         version: shared.in_force.borrow().version(),
     })
 }
--- a/crates/vanillakeel-entry/src/gateway/settings.rs
+++ b/crates/vanillakeel-entry/src/gateway/settings.rs
@@ -144,11 +144,13 @@
 
     /// Returns the age, in ms, up to which members rely on the last confirmation of their hub.
     ///
-    /// It lies half-way between the longest wait of a read and the time limit of a version, so that
-    /// a hub has time for a second read, and then its members for one of their own.
+    /// Without faults it grows to the duration of two reads, since it counts from the sending of a read
+    /// and lasts until the next one is answered. The limit lies half-way between that and the time
+    /// limit of a version, so that a hub has time for a second read, and then its members for one of
+    /// their own.
     #[must_use]
     pub const fn hub_confirmation_ms(&self) -> u64 {
-        u64::midpoint(self.configuration_read_wait_ms(), self.in_force_ms)
+        u64::midpoint(2 * self.configuration_read_wait_ms(), self.in_force_ms)
     }
 }
 
--- a/crates/vanillakeel-entry/src/gateway/shared.rs
+++ b/crates/vanillakeel-entry/src/gateway/shared.rs
@@ -294,19 +294,24 @@
     ///
     /// # Errors
     ///
-    /// Returns a refusal if no version is known, or if the one in force stays unconfirmed for
-    /// [`MAX_UNCONFIRMED_WAIT_MS`].
+    /// Returns a refusal if no version is known, if the one in force is superseded while other
+    /// instances have a confirmed one, or if it stays unconfirmed for [`MAX_UNCONFIRMED_WAIT_MS`].
     pub(super) async fn usable_table(&self) -> Result<Rc<Table>, Refusal> {
         let start = self.clock.now();
         loop {
             let now = self.clock.now();
-            let table = {
+            {
                 let in_force = self.in_force.borrow();
                 let table = in_force.table().ok_or(Refusal::NoConfiguration)?;
-                (in_force.standing(now) != Standing::Unconfirmed).then(|| Rc::clone(table))
-            };
-            if let Some(table) = table {
-                return Ok(table);
+                match in_force.standing(now) {
+                    Standing::Confirmed | Standing::Disconnected => return Ok(Rc::clone(table)),
+                    Standing::Superseded if self.mesh.borrow().are_others_confirmed(now) => {
+                        return Err(Refusal::Stale(self.stale_retry_after_ms(now)));
+                    }
+                    // No other instance can do better.
+                    Standing::Superseded => return Ok(Rc::clone(table)),
+                    Standing::Unconfirmed => {}
+                }
             }
             let left_ms = MAX_UNCONFIRMED_WAIT_MS.saturating_sub(now.since(start));
             let changed = self.standing_changed.notified();
--- a/crates/vanillakeel-wire/src/generated.rs
+++ b/crates/vanillakeel-wire/src/generated.rs
@@ -256,7 +256,7 @@
     pub loads: ::core::option::Option<MeshLoads>,
     #[prost(message, optional, tag = "3")]
     pub reads: ::core::option::Option<MeshReads>,
-    /// Whether the member can accept keys, because its configuration was confirmed recently.
+    /// Whether the configuration in force at the member is confirmed.
     #[prost(bool, tag = "4")]
     pub confirmed: bool,
     /// Version of the configuration in force at the member.
--- a/crates/vanillakeel/src/mesh/state.rs
+++ b/crates/vanillakeel/src/mesh/state.rs
@@ -88,7 +88,7 @@
 struct MemberReport {
     received: Millis,
     loads: Loads,
-    /// Whether the member can accept keys.
+    /// Whether the configuration in force at the member is confirmed.
     is_confirmed: bool,
 }
 
@@ -277,7 +277,7 @@
         }
     }
 
-    /// Stores the report of a member: its load, and whether it can accept keys.
+    /// Stores the report of a member: its load, and whether its configuration is confirmed.
     pub fn on_report(&mut self, now: Millis, name: &str, loads: Loads, is_confirmed: bool) {
         if let Ok(at) = self.find(name) {
             self.peers[at].report = Some(MemberReport {
@@ -329,8 +329,8 @@
             })
     }
 
-    /// Returns whether other instances of the data centre can probably accept keys while this one
-    /// can't, because it has lost contact with the log.
+    /// Returns whether other instances of the data centre have probably a confirmed configuration while
+    /// this one has not, because it has lost contact with the log.
     ///
     /// If no instance is heard, this one is cut off from the others, which are taken to be well. If
     /// the hub or all members have lost contact too, the data centre is cut off or the log is down.
--- a/crates/vanillakeel/src/routes/in_force.rs
+++ b/crates/vanillakeel/src/routes/in_force.rs
@@ -57,7 +57,9 @@
     /// It is the last one that was read before the log became unreachable, and nothing is known of a
     /// newer one.
     Disconnected,
-    /// A newer one may have to be in force, or has been announced.
+    /// A newer one was announced, and the log is unreachable.
+    Superseded,
+    /// A newer one may have to be in force; the next read will show it.
     Unconfirmed,
 }
 
@@ -177,10 +179,10 @@
         }
         let is_recent = |(_, failed_at): (_, Millis)| now.since(failed_at) < FAILURE_TTL_MS;
         let is_unreachable = self.has_failed_read() && self.failed_read.is_some_and(is_recent);
-        if is_unreachable && self.superseded_by(now).is_none() {
-            Standing::Disconnected
-        } else {
-            Standing::Unconfirmed
+        match (is_unreachable, self.superseded_by(now)) {
+            (false, _) => Standing::Unconfirmed,
+            (true, None) => Standing::Disconnected,
+            (true, Some(_)) => Standing::Superseded,
         }
     }
 
