refactor: one file each for following the configuration and the upstreams

Following the configuration, following the upstreams and what both share now stand apart; the state of the list of upstreams is a struct with a step a method.

Two faults found on the way, both mended here since they are in the moved code: an answer of an earlier era made the follower read again without a pause, and an announcement of a version that the log does not show made it read again for each report of a peer.

--- a/crates/vanillakeel-entry/src/gateway/shared.rs
+++ b/crates/vanillakeel-entry/src/gateway/shared.rs
@@ -324,15 +324,13 @@
         }
     }
 
-    /// Records the version of another instance; if it is newer than the one in force, the task that
-    /// reads the configuration is woken.
+    /// Records the version of another instance; the first time that a newer one is heard of, the task
+    /// that reads the configuration is woken.
     pub(super) fn on_announced(&self, version: u64, peer: &str) {
         let mut in_force = self.in_force.borrow_mut();
         if in_force.on_announced(self.clock.now(), version) {
             let in_force = in_force.version();
             tracing::info!(version, in_force, peer, "newer configuration announced");
-        }
-        if version > in_force.version() {
             self.newer_version.notify_one();
         }
     }
--- /dev/null
+++ b/crates/vanillakeel-entry/src/gateway/watch/configuration.rs
@@ -0,0 +1,206 @@
+//! Follows the routing configuration on the log.
+//!
+//! A version is confirmed as the newest by each read that reaches the end of the log, unless the log
+//! shows only older ones or the newest one can't be decoded.
+
+use super::{
+    super::{
+        log_adapter::{
+            Entry,
+            LogAdapter,
+            Page,
+            Position,
+            ReadError,
+            Topic, //
+        },
+        log_reads::{
+            self,
+            Answer,
+            ReadRequest, //
+        },
+        shared::Shared,
+    },
+    COVERED_POLL_MS,
+    RETRY_PAUSE_MS,
+    TopicStatus,
+    is_usable,
+    position_after, //
+};
+use std::{
+    rc::Rc,
+    sync::Arc,
+    time::Duration, //
+};
+use tokio::time::{
+    sleep,
+    timeout, //
+};
+use vanillakeel::{
+    Millis,
+    routes::Table, //
+};
+
+/// Follows the routing configuration for as long as the process runs.
+pub(in super::super) async fn follow_configuration(shared: Rc<Shared>, log: LogAdapter) {
+    let mut status = TopicStatus::new("configuration");
+    let me = Arc::clone(&shared.mesh.borrow().me().name);
+    let mut position: Option<Position> = None;
+    let mut newest = NewestRead::default();
+    loop {
+        position = position.filter(|p| p.era == shared.log_era());
+        if position.is_some() && is_confirmed_by_hub(&shared) {
+            let pause = Duration::from_millis(COVERED_POLL_MS);
+            if timeout(pause, shared.newer_version.notified())
+                .await
+                .is_err()
+            {
+                continue;
+            }
+            position = None;
+        }
+        let is_retry = status.is_lost();
+        let timing = shared.settings.borrow().timing;
+        let req = ReadRequest {
+            topic: Topic::Configuration,
+            from: position.map(|p| p.offset),
+            wait_ms: if is_retry || position.is_none() {
+                0
+            } else {
+                timing.configuration_read_wait_ms()
+            },
+            is_retry,
+        };
+        let answer = tokio::select! {
+            answer = log_reads::read(shared.clock, &log, req) => answer,
+            // Another instance has a newer version: the read that waits for it here may be on a dead
+            // connection.
+            () = shared.newer_version.notified(), if position.is_some() => {
+                position = None;
+                continue;
+            }
+            () = shared.era_risen.notified(), if position.is_some() => continue,
+        };
+        if answer.shows_unreachable_log(shared.clock.now(), timing.store_answer_ms) {
+            shared.on_read_failed(answer.asked_at);
+        }
+        let Answer { asked_at, result } = answer;
+        status.on_read(&shared, asked_at, &result);
+        match result {
+            Ok(page) if !is_usable(&shared, &page, position) => {
+                // The newest records are read next, but not in a busy loop.
+                if position.take().is_none() {
+                    sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
+                }
+            }
+            Ok(page) => {
+                let next = position_after(&page);
+                let has_progress = position.replace(next) != Some(next);
+                newest.on_page(&page, apply_configuration(&shared, &log, &page, asked_at));
+                if !newest.shows(newest_known(&shared, asked_at)) {
+                    shared.on_read_failed(asked_at);
+                } else if page.is_up_to_date {
+                    shared.confirm_newest(asked_at, &me);
+                }
+                if !page.is_up_to_date && !has_progress {
+                    sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
+                }
+            }
+            Err(ReadError::Compacted) => position = None,
+            Err(_) => sleep(Duration::from_millis(RETRY_PAUSE_MS)).await,
+        }
+    }
+}
+
+/// Returns the newest version that was in force anywhere, as far as was known at `asked_at`.
+fn newest_known(shared: &Shared, asked_at: Millis) -> u64 {
+    let in_force = shared.in_force.borrow();
+    in_force
+        .superseded_by(asked_at)
+        .unwrap_or_else(|| in_force.version())
+}
+
+/// What the log has shown of the newest configuration in its present era.
+#[derive(Debug, Default)]
+struct NewestRead {
+    era: u64,
+    /// Newest version that was read in this era, or 0 without one.
+    version: u64,
+    /// Whether the last configuration that was read could not be decoded.
+    is_unreadable: bool,
+}
+
+impl NewestRead {
+    /// Records a page with the version of its last configuration: `None` if there is none, an error if
+    /// it could not be decoded.
+    fn on_page(&mut self, page: &Page, last: Option<Result<u64, ()>>) {
+        if page.era != self.era {
+            *self = Self {
+                era: page.era,
+                ..Self::default()
+            };
+        }
+        if let Some(last) = last {
+            self.is_unreadable = last.is_err();
+            self.version = self.version.max(last.unwrap_or(0));
+        }
+    }
+
+    /// Returns whether the log shows that `version` is the newest.
+    ///
+    /// After the log came back from a copy, it may hold an older version until the operator has written
+    /// the newest one again.
+    const fn shows(&self, version: u64) -> bool {
+        !self.is_unreadable && self.version >= version
+    }
+}
+
+/// Returns whether a hub covers this instance and has recently confirmed the version in force.
+///
+/// The age of the confirmation is the one known here: a hub may confirm another version or none.
+fn is_confirmed_by_hub(shared: &Shared) -> bool {
+    let now = shared.clock.now();
+    let max_age_ms = shared.settings.borrow().timing.hub_confirmation_ms();
+    let age_ms = shared.in_force.borrow().confirmation_age_ms(now);
+    age_ms.is_some_and(|age| age < max_age_ms) && shared.mesh.borrow().is_covered(now)
+}
+
+/// Puts the configurations of a page in force if they are newer than the present one; returns the
+/// version of the last of them, an error if it could not be decoded, or `None` if there is none.
+fn apply_configuration(
+    shared: &Shared,
+    log: &LogAdapter,
+    page: &Page,
+    asked_at: Millis,
+) -> Option<Result<u64, ()>> {
+    let mut last = None;
+    let is_configuration = |e: &&Entry| e.key == log.configuration_key;
+    for entry in page.entries.iter().filter(is_configuration) {
+        let Some(value) = &entry.value else {
+            continue;
+        };
+        let decoded = (log.decode_configuration)(value);
+        last = Some(decoded.as_ref().map(|spec| spec.version).map_err(|_| ()));
+        match decoded {
+            Ok(spec) => {
+                let version = spec.version;
+                let previous = shared.in_force.borrow().table().map(|t| t.version());
+                let is_newer = shared.in_force.borrow_mut().install(Table::new(spec));
+                if is_newer {
+                    let now = shared.clock.now();
+                    let announced = shared.in_force.borrow().announced();
+                    let announced = announced.filter(|(v, _)| *v <= version);
+                    shared.metrics.version.set(version.cast_signed());
+                    tracing::info!(
+                        version,
+                        previous,
+                        read_ms = now.since(asked_at),
+                        announced_ms = announced.map(|(_, at)| now.since(at)),
+                        "configuration in force"
+                    );
+                }
+            }
+            Err(e) => tracing::error!(error = %e, "configuration can't be read; the old one stays"),
+        }
+    }
+    last
+}
--- /dev/null
+++ b/crates/vanillakeel-entry/src/gateway/watch/upstreams.rs
@@ -0,0 +1,307 @@
+//! Follows the list of upstreams on the log.
+//!
+//! An upstream is removed as soon as its entry is, unless its entry may only have been lost: after an
+//! outage, in which entries expire, and in an earlier copy from which the log has come back.
+
+use super::{
+    super::{
+        log_adapter::{
+            Entry,
+            LogAdapter,
+            Page,
+            Position,
+            ReadError,
+            Topic, //
+        },
+        log_reads::{
+            self,
+            Answer,
+            ReadRequest, //
+        },
+        shared::Shared,
+    },
+    COVERED_POLL_MS,
+    RETRY_PAUSE_MS,
+    TopicStatus,
+    is_usable,
+    position_after, //
+};
+use std::{
+    rc::Rc,
+    sync::Arc,
+    time::Duration, //
+};
+use tokio::time::timeout;
+use vanillakeel::Millis;
+
+/// Time for which the upstreams known to the hub may differ from those known here before the log is
+/// read, in ms.
+const MAX_HUB_DIFFERENCE_MS: u64 = 600;
+
+/// Largest fraction of the known upstreams that is treated as removed if it is missing at once after
+/// an outage of the log.
+///
+/// A release or a crash removes fewer upstreams. If more are missing, their entries have probably
+/// expired because they could not be renewed during the outage.
+const MAX_REMOVED_FRACTION: f64 = 0.25;
+
+/// Follows the list of upstreams for as long as the process runs.
+pub(in super::super) async fn follow_upstreams(shared: Rc<Shared>, log: LogAdapter) {
+    let mut list = UpstreamList::default();
+    loop {
+        let pause_ms = if list.is_kept_by_hub(&shared) {
+            // Records that follow the last own read may list upstreams that the hub has removed since,
+            // so the newest ones are read next.
+            list.position = None;
+            COVERED_POLL_MS
+        } else {
+            list.read(&shared, &log).await
+        };
+        sweep_connections(&shared);
+        let pause = Duration::from_millis(pause_ms);
+        // A rise of the era ends the pause.
+        let _ = timeout(pause, shared.era_risen.notified()).await;
+    }
+}
+
+/// What has been read of the list of upstreams.
+#[derive(Debug)]
+struct UpstreamList {
+    status: TopicStatus,
+    /// Position of the next record; without it, the complete list is read.
+    position: Option<Position>,
+    /// Era of the log in which the complete list was read.
+    listed_era: Option<u64>,
+    /// Entries of an earlier copy whose upstreams have left since.
+    outdated: Vec<Entry>,
+    missing: MissingUpstreams,
+}
+
+impl Default for UpstreamList {
+    fn default() -> Self {
+        Self {
+            status: TopicStatus::new("upstreams"),
+            position: None,
+            listed_era: None,
+            outdated: Vec::new(),
+            missing: MissingUpstreams::default(),
+        }
+    }
+}
+
+impl UpstreamList {
+    /// Returns whether the list was read in the present era and a hub has kept it up to date since.
+    fn is_kept_by_hub(&self, shared: &Shared) -> bool {
+        self.listed_era == Some(shared.log_era()) && is_hub_view_current(shared)
+    }
+
+    /// Reads the list or the records that follow; returns the pause before the next read, in ms.
+    async fn read(&mut self, shared: &Shared, log: &LogAdapter) -> u64 {
+        self.position = self.position.filter(|p| p.era == shared.log_era());
+        let req = ReadRequest {
+            topic: Topic::Upstreams,
+            from: self.position.map(|p| p.offset),
+            is_retry: self.status.is_lost(),
+            ..ReadRequest::default()
+        };
+        let Answer { asked_at, result } = log_reads::read(shared.clock, log, req).await;
+        self.status.on_read(shared, asked_at, &result);
+        match result {
+            Ok(page) if is_usable(shared, &page, self.position) => {
+                self.on_page(shared, log, &page, asked_at)
+            }
+            Ok(_) | Err(ReadError::Compacted) => {
+                // The complete list is read next, but not in a busy loop.
+                let had_position = self.position.take().is_some();
+                if had_position { 0 } else { RETRY_PAUSE_MS }
+            }
+            Err(_) => RETRY_PAUSE_MS,
+        }
+    }
+
+    /// Applies a page; returns the pause before the next read, in ms.
+    fn on_page(&mut self, shared: &Shared, log: &LogAdapter, page: &Page, asked_at: Millis) -> u64 {
+        let now = shared.clock.now();
+        let timing = shared.settings.borrow().timing;
+        let relisted_at = now.plus(timing.relisted_ms);
+        if self.status.was_lost {
+            self.missing.hold_until = relisted_at;
+            self.status.was_lost = false;
+        }
+        let is_list = self.position.is_none();
+        let previous_era = self.listed_era.replace(page.era);
+        if previous_era.is_some_and(|era| era != page.era) {
+            self.missing.add_missing_in_copy(shared, page, relisted_at);
+            self.outdated = outdated_entries(shared, log, page);
+        } else if is_list {
+            self.missing.add_unlisted(shared, page);
+        }
+        let next = position_after(page);
+        let has_progress = self.position.replace(next) != Some(next);
+        if page.is_up_to_date {
+            shared.upstreams_read_at.set(Some(asked_at));
+        }
+        shared.hub_differs_since.set(None);
+        let skipped = if is_list { &*self.outdated } else { &[] };
+        apply_upstreams(shared, log, page, skipped, &mut self.missing);
+        self.missing.remove_due(shared, now);
+        match (page.is_up_to_date, has_progress) {
+            (true, _) => timing.discovery_every_ms,
+            (false, true) => 0,
+            (false, false) => RETRY_PAUSE_MS,
+        }
+    }
+}
+
+/// Returns the entries of an earlier copy of the list whose upstreams have left since.
+///
+/// An upstream that has not left writes its entry again.
+fn outdated_entries(shared: &Shared, log: &LogAdapter, page: &Page) -> Vec<Entry> {
+    let has_left = |entry: &&Entry| {
+        let value = entry.value.as_deref().unwrap_or_default();
+        let listed = (log.decode_upstream)(&entry.key, value);
+        listed.is_ok_and(|listed| shared.was_removed(&listed))
+    };
+    let outdated: Vec<_> = page.entries.iter().filter(has_left).cloned().collect();
+    for entry in &outdated {
+        tracing::info!(
+            upstream = entry.key,
+            "entry of an earlier copy skipped; the upstream has left"
+        );
+    }
+    outdated
+}
+
+/// Applies the entries of a page to the list of upstreams, without those that are `skipped`.
+fn apply_upstreams(
+    shared: &Shared,
+    log: &LogAdapter,
+    page: &Page,
+    skipped: &[Entry],
+    missing: &mut MissingUpstreams,
+) {
+    let mut has_changed = false;
+    for entry in page.entries.iter().filter(|e| !skipped.contains(e)) {
+        let Some(value) = &entry.value else {
+            missing.add(&entry.key);
+            continue;
+        };
+        match (log.decode_upstream)(&entry.key, value) {
+            Ok(listed) => {
+                missing.remove(&entry.key);
+                has_changed |= shared.on_listed(&listed);
+            }
+            Err(e) => {
+                tracing::warn!(upstream = entry.key, error = %e, "entry of an upstream skipped");
+            }
+        }
+    }
+    if has_changed {
+        shared.fleet_changed.notify_waiters();
+    }
+}
+
+/// Returns whether a hub covers this instance and knows the same upstreams.
+///
+/// A difference is tolerated for a short time, since announcements of changes may be under way.
+fn is_hub_view_current(shared: &Shared) -> bool {
+    let now = shared.clock.now();
+    let differs_since = shared.hub_differs_since.get();
+    let is_equal = differs_since.is_none_or(|since| now.since(since) < MAX_HUB_DIFFERENCE_MS);
+    is_equal && shared.mesh.borrow().is_covered(now)
+}
+
+/// Closes idle connections that are no longer usable and updates the gauge of upstreams.
+fn sweep_connections(shared: &Shared) {
+    let now = shared.clock.now();
+    let fleet = shared.fleet.borrow();
+    let mut pool = shared.connection_pool.borrow_mut();
+    pool.close_expired(now, |name, incarnation| fleet.is_live(name, incarnation));
+    let count = i64::try_from(fleet.iter().count()).unwrap_or(i64::MAX);
+    shared.metrics.upstreams.set(count);
+}
+
+/// Upstreams whose entries have disappeared from the log.
+///
+/// After an outage of the log, the entries of live upstreams may have expired. If many are missing
+/// at once, they are kept until live upstreams have had time to be listed again. If few are missing,
+/// they count as removed.
+#[derive(Debug, Default)]
+struct MissingUpstreams {
+    names: Vec<Arc<str>>,
+    /// Time by which live upstreams should be listed again after an outage of the log.
+    hold_until: Millis,
+    /// Whether many upstreams have been missing at once since the outage; none is removed then.
+    are_many_missing: bool,
+    /// Upstreams that are missing in the copy from which the log came back. Their entries may have been
+    /// lost, so they count as removed only after [`Self::lost_until`].
+    lost: Vec<Arc<str>>,
+    lost_until: Millis,
+}
+
+impl MissingUpstreams {
+    fn add(&mut self, name: &str) {
+        if let Err(at) = self.names.binary_search_by(|n| (**n).cmp(name)) {
+            self.names.insert(at, Arc::from(name));
+        }
+    }
+
+    fn remove(&mut self, name: &str) {
+        if let Ok(at) = self.names.binary_search_by(|n| (**n).cmp(name)) {
+            self.names.remove(at);
+        }
+        self.lost.retain(|n| **n != *name);
+    }
+
+    /// Adds all known upstreams that a complete list does not contain.
+    fn add_unlisted(&mut self, shared: &Shared, page: &Page) {
+        for name in unlisted(shared, page) {
+            self.add(&name);
+        }
+    }
+
+    /// Adds all known upstreams that an earlier copy of the list does not contain; they are kept until
+    /// `until`, so that they can write their entries again.
+    fn add_missing_in_copy(&mut self, shared: &Shared, page: &Page, until: Millis) {
+        self.lost = unlisted(shared, page);
+        self.lost_until = until;
+    }
+
+    /// Removes the missing upstreams from the fleet, unless many are missing after an outage of the
+    /// log and may still be listed again.
+    fn remove_due(&mut self, shared: &Shared, now: Millis) {
+        if now >= self.lost_until {
+            for name in std::mem::take(&mut self.lost) {
+                self.add(&name);
+            }
+        }
+        let known_count = {
+            let fleet = shared.fleet.borrow();
+            self.names
+                .retain(|name| fleet.iter().any(|u| u.name == *name));
+            fleet.iter().count()
+        };
+        let is_many = self.names.len() as f64 > known_count as f64 * MAX_REMOVED_FRACTION;
+        let is_waiting = now < self.hold_until;
+        self.are_many_missing = is_waiting && (self.are_many_missing || is_many);
+        if self.are_many_missing {
+            return;
+        }
+        for name in self.names.drain(..) {
+            shared.on_removed(&name);
+        }
+    }
+}
+
+/// Returns the known upstreams that a complete list does not contain.
+fn unlisted(shared: &Shared, page: &Page) -> Vec<Arc<str>> {
+    let mut listed: Vec<&str> = page.entries.iter().map(|e| &*e.key).collect();
+    listed.sort_unstable();
+    let fleet = shared.fleet.borrow();
+    let is_unlisted = |name: &Arc<str>| listed.binary_search(&&**name).is_err();
+    fleet
+        .iter()
+        .map(|u| Arc::clone(&u.name))
+        .filter(is_unlisted)
+        .collect()
+}
