fix: a hub of an earlier era of the log covers nobody

Cause: the contents of an answer from an earlier era were ignored, but the answer still counted as fresh, so a member would have gone without the upstreams of its hub and without reading them itself: for a moment with a hub that has not seen the new era, for good with one of an earlier build, which names none.

Now: such an answer is not fresh. Read in the code; no run showed it. The guard that logs a caller's leaving has a name that says so.

--- a/crates/vanillakeel-entry/src/gateway/peers.rs
+++ b/crates/vanillakeel-entry/src/gateway/peers.rs
@@ -360,8 +360,10 @@
         shared.metrics.bad_datagrams.inc();
         return;
     };
+    // What a hub has read before the log came back from a copy says nothing about the present.
+    let is_fresh = summary.fresh && summary.log_era >= shared.log_era();
     let received = Summary {
-        is_fresh: summary.fresh,
+        is_fresh,
         instances: summary.instances,
     };
     shared.mesh.borrow_mut().on_summary(now, hub, received);
@@ -373,7 +375,7 @@
         // The log itself shows its era to the task that reads the configuration.
         shared.newer_version.notify_one();
     }
-    if summary.log_era < shared.log_era() || !summary.fresh {
+    if !is_fresh {
         return;
     }
     confirm_version(shared, summary, sent_at, hub);
--- a/crates/vanillakeel-entry/src/gateway/request.rs
+++ b/crates/vanillakeel-entry/src/gateway/request.rs
@@ -109,18 +109,18 @@
     let is_unambiguous = connection.scanner.borrow_mut().begin_request();
     let id =
         headers::str_value(req.headers(), &shared.header_names.request_id).map(Arc::<str>::from);
-    let mut open_line = OpenLine {
+    let mut unfinished = UnfinishedRequest {
         shared: &shared,
         id: id.clone(),
         routed_by: None,
-        is_ended: false,
+        has_response: false,
     };
     let result = if is_unambiguous {
-        serve(&shared, arrived, req, &mut open_line.routed_by).await
+        serve(&shared, arrived, req, &mut unfinished.routed_by).await
     } else {
         Err(Refusal::Ambiguous)
     };
-    open_line.is_ended = true;
+    unfinished.has_response = true;
     let mut response = match result {
         Ok(response) => response,
         Err(refusal) => {
@@ -130,7 +130,7 @@
                 id.as_deref(),
                 refusal,
                 arrived,
-                open_line.routed_by,
+                unfinished.routed_by,
             );
             let mut response = refusal.response();
             let value = id.as_deref().and_then(|id| HeaderValue::from_str(id).ok());
@@ -155,16 +155,16 @@
 }
 
 /// Logs the end of a request whose caller leaves before there is a response.
-struct OpenLine<'a> {
+struct UnfinishedRequest<'a> {
     shared: &'a Shared,
     id: Option<Arc<str>>,
     routed_by: Option<u64>,
-    is_ended: bool,
+    has_response: bool,
 }
 
-impl Drop for OpenLine<'_> {
+impl Drop for UnfinishedRequest<'_> {
     fn drop(&mut self) {
-        if self.is_ended || !self.shared.may_log(Kind::Failure) {
+        if self.has_response || !self.shared.may_log(Kind::Failure) {
             return;
         }
         tracing::info!(
