feat: log how an answer was framed and whether it ended within an event

An "answered" line does not say whether the upstream gave a length, sent chunks or closed the connection, nor whether the stream ended within an event; an "answer cut" line does not say what the connection reported.

Now: both lines hold the framing and, for streams, the bytes after the last complete event; "answer cut" holds the error of the connection. No logic is changed.

--- a/crates/vanillakeel-entry/src/gateway.rs
+++ b/crates/vanillakeel-entry/src/gateway.rs
@@ -22,6 +22,7 @@
 mod call;
 mod client;
 mod exchange;
+mod framing;
 mod guard;
 mod header_names;
 mod headers;
--- a/crates/vanillakeel-entry/src/gateway/call.rs
+++ b/crates/vanillakeel-entry/src/gateway/call.rs
@@ -2,6 +2,7 @@
 
 use super::{
     client::HttpConnection,
+    framing::BodyFraming,
     lines::Kind,
     shared::Shared, //
 };
@@ -31,6 +32,8 @@
     /// How long the connection may stay idle after the response and still be reused, in ms; `None`
     /// if it can't be reused.
     pub(super) max_idle_ms: Option<u64>,
+    /// Framing of the response body, once the head has arrived.
+    pub(super) framing: BodyFraming,
 }
 
 impl Call {
@@ -48,6 +51,7 @@
             in_flight: Some(in_flight),
             connection: None,
             max_idle_ms: None,
+            framing: BodyFraming::default(),
         }
     }
 
--- a/crates/vanillakeel-entry/src/gateway/exchange.rs
+++ b/crates/vanillakeel-entry/src/gateway/exchange.rs
@@ -16,6 +16,7 @@
         HttpConnection,
         SendError, //
     },
+    framing::BodyFraming,
     headers,
     lines::Kind,
     progress::Progress,
@@ -443,6 +444,7 @@
         return Err(SendFailure::Broken("answer to another request"));
     }
     call.max_idle_ms = max_idle_ms(shared, headers);
+    call.framing = BodyFraming::of(headers);
     let is_misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
     if is_misdirected || headers.contains_key(&names.not_run) {
         attempts.possible_runs -= 1;
@@ -515,6 +517,7 @@
             call.on_first_event(now);
             let is_failure = head.status.is_server_error();
             let upstream = Arc::clone(call.upstream());
+            let framing = call.framing;
             call.finish(if is_failure {
                 CallOutcome::Failed
             } else {
@@ -523,7 +526,11 @@
             let mut progress = Progress::default();
             progress.on_chunk(now);
             progress.bytes = bytes.len() as u64;
-            log_response(shared, request, &upstream, head.status, &progress);
+            let ending = Ending {
+                framing,
+                partial_event_bytes: None,
+            };
+            log_response(shared, request, &upstream, head.status, &progress, ending);
             let response = Response::from_parts(head, ResponseBody::Buffered(Some(bytes)));
             Ok(if is_failure {
                 UpstreamResponse::ServerError(response)
@@ -545,6 +552,14 @@
     }
 }
 
+/// How the body of a response has ended.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Ending {
+    pub(super) framing: BodyFraming,
+    /// Length of what follows the last complete event of a stream, in bytes.
+    pub(super) partial_event_bytes: Option<u64>,
+}
+
 /// Records a complete response in the metrics and the log.
 pub(super) fn log_response(
     shared: &Shared,
@@ -552,6 +567,7 @@
     upstream: &str,
     status: StatusCode,
     progress: &Progress,
+    ending: Ending,
 ) {
     let times = progress.times(request.arrived, shared.clock.now());
     shared.metrics.on_answer(request.rank, status, &times);
@@ -566,6 +582,8 @@
         first_ms = times.first_ms,
         gap_ms = times.longest_gap_ms,
         after_ms = times.total_ms,
+        framing = ending.framing.as_str(),
+        partial_event_bytes = ending.partial_event_bytes,
         "answered"
     );
 }
--- a/crates/vanillakeel-entry/src/gateway/relay.rs
+++ b/crates/vanillakeel-entry/src/gateway/relay.rs
@@ -11,6 +11,7 @@
     exchange::{
         self,
         Attempts,
+        Ending,
         SendFailure, //
     },
     lines,
@@ -53,6 +54,7 @@
     fleet::CallOutcome,
     routes::RouteKind, //
 };
+use vanillakeel_http::EventScanner;
 
 /// Result of the attempt to resume a broken stream at another upstream.
 type ResumeResult = (Attempts, Result<(Call, Response<Incoming>), SendFailure>);
@@ -79,6 +81,10 @@
     deadline: Pin<Box<Sleep>>,
     /// Splits a resumable stream into events; `None` for any other body.
     events: Option<EventSplitter>,
+    /// Follows the events of a stream, for the log.
+    scanner: Option<EventScanner>,
+    /// Length of what follows the last complete event of a stream, in bytes.
+    partial_event_bytes: u64,
     /// Bytes that were read earlier and come first.
     buffered: Option<Bytes>,
     progress: Progress,
@@ -104,6 +110,8 @@
             state: RelayState::Receiving(Box::new((call, body))),
             deadline: Box::pin(sleep(remaining)),
             events: is_resumable.then(EventSplitter::default),
+            scanner: request.route.kind.is_stream().then(EventScanner::default),
+            partial_event_bytes: 0,
             buffered: None,
             progress: Progress::default(),
             held_until_end: None,
@@ -159,8 +167,8 @@
                     self.finish();
                     return Poll::Ready(None);
                 }
-                Polled::Frame(None) => self.on_upstream_failure("ended within an event"),
-                Polled::Frame(Some(Err(_))) => self.on_upstream_failure("broke off"),
+                Polled::Frame(None) => self.on_upstream_failure("ended within an event", None),
+                Polled::Frame(Some(Err(e))) => self.on_upstream_failure("broke off", Some(&e)),
                 Polled::Resumed(resumed) => self.on_resumed(*resumed),
             }
             if let RelayState::Ended = self.state {
@@ -177,12 +185,34 @@
         if let RelayState::Receiving(receiving) = &mut self.state {
             receiving.0.on_first_event(now);
         }
+        self.scan(&data);
         match &mut self.events {
             None => Some(data),
             Some(events) => events.push(&data),
         }
     }
 
+    /// Follows the events of a stream.
+    fn scan(&mut self, data: &[u8]) {
+        let Some(scanner) = &mut self.scanner else {
+            return;
+        };
+        let length = data.len() as u64;
+        self.partial_event_bytes = match scanner.scan(data) {
+            Some(complete) => length - complete as u64,
+            None => self.partial_event_bytes + length,
+        };
+    }
+
+    /// Returns how the body has ended, for the log.
+    fn ending(&self, call: &Call) -> Ending {
+        let is_stream = self.scanner.is_some();
+        Ending {
+            framing: call.framing,
+            partial_event_bytes: is_stream.then_some(self.partial_event_bytes),
+        }
+    }
+
     /// Returns whether the body is complete if it ends here: a resumable stream must not end within
     /// an event.
     fn is_complete(&self) -> bool {
@@ -197,6 +227,7 @@
             std::mem::replace(&mut self.state, RelayState::Ended)
         {
             let (call, _) = *receiving;
+            let ending = self.ending(&call);
             let upstream = Arc::clone(call.upstream());
             call.finish(CallOutcome::Success);
             exchange::log_response(
@@ -205,34 +236,41 @@
                 &upstream,
                 StatusCode::OK,
                 &self.progress,
+                ending,
             );
         }
     }
 
     /// Ends the body with an error.
     fn fail(&mut self, reason: &'static str) -> BodyError {
-        self.log_cut(reason);
+        self.log_cut(reason, None);
         self.state = RelayState::Ended;
         reason.into()
     }
 
     /// Records in the metrics and the log that an upstream has not sent the complete body.
-    fn log_cut(&self, reason: &str) {
-        let upstream = match &self.state {
-            RelayState::Receiving(receiving) => Arc::clone(receiving.0.upstream()),
-            _ => Arc::from(""),
+    ///
+    /// `error` is what the HTTP library reports of the connection, if it has failed.
+    fn log_cut(&self, reason: &str, error: Option<&hyper::Error>) {
+        let call = match &self.state {
+            RelayState::Receiving(receiving) => Some(&receiving.0),
+            _ => None,
         };
+        let ending = call.map(|call| self.ending(call));
         self.shared.metrics.broken_answers.inc();
         if !self.shared.may_log(lines::Kind::Failure) {
             return;
         }
         tracing::info!(
             request = %self.request.id,
-            upstream = %upstream,
+            upstream = call.map_or("", |call| call.upstream()),
             bytes = self.progress.bytes,
             first_ms = self.progress.first_ms(self.request.arrived),
             after_ms = self.shared.clock.now().since(self.request.arrived),
             reason,
+            framing = ending.map(|e| e.framing.as_str()),
+            partial_event_bytes = ending.and_then(|e| e.partial_event_bytes),
+            error = error.map(tracing::field::display),
             "answer cut"
         );
     }
@@ -240,8 +278,8 @@
     /// Handles a failure of the upstream: resumes the stream at another one if that is allowed.
     ///
     /// The partial event is discarded, since the next upstream sends it again from its start.
-    fn on_upstream_failure(&mut self, reason: &'static str) {
-        self.log_cut(reason);
+    fn on_upstream_failure(&mut self, reason: &'static str, error: Option<&hyper::Error>) {
+        self.log_cut(reason, error);
         if let RelayState::Receiving(receiving) =
             std::mem::replace(&mut self.state, RelayState::Ended)
         {
@@ -272,6 +310,10 @@
     fn on_resumed(&mut self, (attempts, result): ResumeResult) {
         self.state = match result {
             Ok((call, response)) if response.status().is_success() => {
+                if let Some(scanner) = &mut self.scanner {
+                    scanner.restart();
+                }
+                self.partial_event_bytes = 0;
                 RelayState::Receiving(Box::new((call, response.into_body())))
             }
             _ => RelayState::Ended,
--- a/crates/vanillakeel-http/src/lib.rs
+++ b/crates/vanillakeel-http/src/lib.rs
@@ -7,6 +7,7 @@
 //!   of the server library would buffer up to 8 KiB before it sends anything.
 //! - [`ResponseHead`] holds a status and headers, and sends them with a complete body.
 //! - [`Events`] reads a server-sent event stream.
+//! - [`EventScanner`] finds the ends of events in a stream that is forwarded.
 //!
 //! ```
 //! use vanillakeel_http::Events;
@@ -17,12 +18,14 @@
 //! ```
 
 mod client;
+mod event_scanner;
 mod events;
 mod server;
 mod stream;
 
 pub use self::{
     client::request,
+    event_scanner::EventScanner,
     events::Events,
     server::{
         Server,
