fix: search for events only in bodies that have them

On a resumable route every successful body was split into events, so one of another content type, say a JSON document, counted as a stream that ends within an event: the caller got nothing of it, the request ran at a second upstream and was then broken off.

Now: the content type of the response decides; without one, a response on a route for streams counts as a stream.

--- a/crates/vanillakeel-entry/src/gateway/exchange.rs
+++ b/crates/vanillakeel-entry/src/gateway/exchange.rs
@@ -16,7 +16,10 @@
         HttpConnection,
         SendError, //
     },
-    framing::BodyFraming,
+    framing::{
+        self,
+        BodyFraming, //
+    },
     headers,
     lines::Kind,
     progress::Progress,
@@ -506,11 +509,14 @@
     let (mut head, body) = response.into_parts();
     headers::strip_hop_by_hop(&mut head.headers);
     if request.route.kind.is_stream() && head.status.is_success() {
-        // The length is that of this run, which a run at another upstream may continue, and a caller
-        // that has read it can no longer be told that the stream is broken.
-        head.headers.remove(header::CONTENT_LENGTH);
         let attempts = std::mem::take(attempts);
-        let relay = Relay::new(shared, request, attempts, call, body);
+        let mut relay = Relay::new(shared, request, attempts, call, body);
+        if framing::has_events(&head.headers) {
+            // The length is that of this run, which a run at another upstream may continue, and a
+            // caller that has read it can no longer be told that the stream is broken.
+            head.headers.remove(header::CONTENT_LENGTH);
+            relay = relay.with_events();
+        }
         let body = ResponseBody::Relayed(Box::new(relay));
         return Ok(UpstreamResponse::Final(Response::from_parts(head, body)));
     }
--- a/crates/vanillakeel-entry/src/gateway/framing.rs
+++ b/crates/vanillakeel-entry/src/gateway/framing.rs
@@ -1,4 +1,4 @@
-//! How the end of a response body is marked.
+//! How the end of a response body is marked, and what else shows that a body is complete.
 
 use http::{
     HeaderMap,
@@ -38,3 +38,13 @@
         }
     }
 }
+
+/// Returns whether a successful response on a route for streams consists of server-sent events.
+///
+/// A response without a content type is taken for what the route announces.
+pub(super) fn has_events(headers: &HeaderMap) -> bool {
+    headers.get(header::CONTENT_TYPE).is_none_or(|value| {
+        let essence = value.as_bytes().split(|b| *b == b';').next();
+        essence.is_some_and(|e| e.trim_ascii().eq_ignore_ascii_case(b"text/event-stream"))
+    })
+}
--- a/crates/vanillakeel-entry/src/gateway/relay.rs
+++ b/crates/vanillakeel-entry/src/gateway/relay.rs
@@ -81,7 +81,7 @@
     deadline: Pin<Box<Sleep>>,
     /// Splits a resumable stream into events; `None` for any other body.
     events: Option<EventSplitter>,
-    /// Follows the events of a stream, for the log.
+    /// Follows the events of a stream; `None` for any other body.
     scanner: Option<EventScanner>,
     /// Length of what follows the last complete event of a stream, in bytes.
     partial_event_bytes: u64,
@@ -102,15 +102,14 @@
         body: Incoming,
     ) -> Self {
         let remaining = Duration::from_millis(request.remaining_ms(shared.clock.now()));
-        let is_resumable = request.route.kind == RouteKind::Stream { resumable: true };
         Self {
             shared: Rc::clone(shared),
             request: Rc::clone(request),
             attempts: Some(attempts),
             state: RelayState::Receiving(Box::new((call, body))),
             deadline: Box::pin(sleep(remaining)),
-            events: is_resumable.then(EventSplitter::default),
-            scanner: request.route.kind.is_stream().then(EventScanner::default),
+            events: None,
+            scanner: None,
             partial_event_bytes: 0,
             buffered: None,
             progress: Progress::default(),
@@ -118,6 +117,16 @@
         }
     }
 
+    /// Follows the events of the body, which has to end between two of them.
+    pub(super) fn with_events(self) -> Self {
+        let is_resumable = self.request.route.kind == RouteKind::Stream { resumable: true };
+        Self {
+            events: is_resumable.then(EventSplitter::default),
+            scanner: Some(EventScanner::default()),
+            ..self
+        }
+    }
+
     /// Relays `bytes`, the beginning of the body, before the rest.
     pub(super) fn with_buffered(self, bytes: Bytes) -> Self {
         Self {
