fix: a stream that ends within an event is broken on every route

Cause: the end of the connection was taken for the end of the stream. An upstream may send a stream with neither a length nor chunks; the client library then reports the orderly end of the connection as the end of the body. Only resumable streams were asked whether they end between two events; all others were relayed unchanged and ended with a last chunk of our own.

Ruled out: a reset that is taken for an orderly end (the tables pass in each order of data and reset); the caller's framing (the instances had logged "answered").

Now: every stream of events is followed, and an end within an event breaks it off for the caller, or resumes it where the route allows, whatever its framing.

--- a/crates/vanillakeel-entry/src/gateway/relay.rs
+++ b/crates/vanillakeel-entry/src/gateway/relay.rs
@@ -3,7 +3,7 @@
 //! A resumable stream is relayed in complete events: if its upstream fails, another upstream
 //! continues it after the last event that was relayed. Any other body is relayed unchanged, and a
 //! failure of the upstream ends it with an error, so that the caller can tell it from a complete
-//! one.
+//! one. A stream that ends within an event has failed, even if its connection was closed in order.
 
 use super::{
     answer::BodyError,
@@ -222,12 +222,13 @@
         }
     }
 
-    /// Returns whether the body is complete if it ends here: a resumable stream must not end within
-    /// an event.
+    /// Returns whether the body is complete if it ends here: a stream must not end within an event.
     fn is_complete(&self) -> bool {
-        self.events
-            .as_ref()
-            .is_none_or(EventSplitter::is_at_boundary)
+        match (&self.events, &self.scanner) {
+            (Some(events), _) => events.is_at_boundary(),
+            (None, Some(scanner)) => scanner.is_between_events(),
+            (None, None) => true,
+        }
     }
 
     /// Ends a complete body.
