fix: events of a resumable stream end with any line end

Complete events were found by two fixed patterns, LF LF and CR LF CR LF. With CR alone, or with a mixture of line ends, no event of a resumable stream was relayed before another one ended in a known way; a whole stream counted as ended within an event and was run again. The id of the last event was searched for in lines that end with LF. A byte order mark of a second run came to stand in the middle of the stream.

Now: the scanner that already follows all streams says where events end and which id was the last. What is held back and what is relayed stands in a file of its own.

Evidence: answer_endings::line_ends, whose case of carriage returns failed before, and held_events.

--- a/crates/vanillakeel-entry/src/gateway.rs
+++ b/crates/vanillakeel-entry/src/gateway.rs
@@ -35,6 +35,7 @@
 mod peers;
 mod progress;
 mod relay;
+mod relayed_events;
 mod request;
 mod run;
 mod settings;
--- a/crates/vanillakeel-entry/src/gateway/relay.rs
+++ b/crates/vanillakeel-entry/src/gateway/relay.rs
@@ -16,13 +16,11 @@
     },
     lines,
     progress::Progress,
+    relayed_events::RelayedEvents,
     request::RoutedRequest,
     shared::Shared, //
 };
-use bytes::{
-    Bytes,
-    BytesMut, //
-};
+use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
 use http::{
     Response,
@@ -54,7 +52,6 @@
     fleet::CallOutcome,
     routes::RouteKind, //
 };
-use vanillakeel_http::EventScanner;
 
 /// Result of the attempt to resume a broken stream at another upstream.
 type ResumeResult = (Attempts, Result<(Call, Response<Incoming>), SendFailure>);
@@ -79,12 +76,8 @@
     attempts: Option<Attempts>,
     state: RelayState,
     deadline: Pin<Box<Sleep>>,
-    /// Splits a resumable stream into events; `None` for any other body.
-    events: Option<EventSplitter>,
-    /// Follows the events of a stream; `None` for any other body.
-    scanner: Option<EventScanner>,
-    /// Length of what follows the last complete event of a stream, in bytes.
-    partial_event_bytes: u64,
+    /// Events of a stream; `None` for any other body.
+    events: Option<RelayedEvents>,
     /// Bytes that were read earlier and come first.
     buffered: Option<Bytes>,
     progress: Progress,
@@ -109,8 +102,6 @@
             state: RelayState::Receiving(Box::new((call, body))),
             deadline: Box::pin(sleep(remaining)),
             events: None,
-            scanner: None,
-            partial_event_bytes: 0,
             buffered: None,
             progress: Progress::default(),
             held_until_end: None,
@@ -121,8 +112,7 @@
     pub(super) fn with_events(self) -> Self {
         let is_resumable = self.request.route.kind == RouteKind::Stream { resumable: true };
         Self {
-            events: is_resumable.then(EventSplitter::default),
-            scanner: Some(EventScanner::default()),
+            events: Some(RelayedEvents::new(is_resumable)),
             ..self
         }
     }
@@ -194,41 +184,25 @@
         if let RelayState::Receiving(receiving) = &mut self.state {
             receiving.0.on_first_event(now);
         }
-        self.scan(&data);
         match &mut self.events {
             None => Some(data),
-            Some(events) => events.push(&data),
+            Some(events) => events.push(data),
         }
     }
 
-    /// Follows the events of a stream.
-    fn scan(&mut self, data: &[u8]) {
-        let Some(scanner) = &mut self.scanner else {
-            return;
-        };
-        let length = data.len() as u64;
-        self.partial_event_bytes = match scanner.scan(data) {
-            Some(complete) => length - complete as u64,
-            None => self.partial_event_bytes + length,
-        };
-    }
-
     /// Returns how the body has ended, for the log.
     fn ending(&self, call: &Call) -> Ending {
-        let is_stream = self.scanner.is_some();
         Ending {
             framing: call.framing,
-            partial_event_bytes: is_stream.then_some(self.partial_event_bytes),
+            partial_event_bytes: self.events.as_ref().map(RelayedEvents::partial_bytes),
         }
     }
 
     /// Returns whether the body is complete if it ends here: a stream must not end within an event.
     fn is_complete(&self) -> bool {
-        match (&self.events, &self.scanner) {
-            (Some(events), _) => events.is_at_boundary(),
-            (None, Some(scanner)) => scanner.is_between_events(),
-            (None, None) => true,
-        }
+        self.events
+            .as_ref()
+            .is_none_or(RelayedEvents::is_between_events)
     }
 
     /// Ends a complete body.
@@ -295,10 +269,10 @@
         {
             receiving.0.finish(CallOutcome::Failed);
         }
-        let Some(events) = &mut self.events else {
+        let Some(events) = self.events.as_mut().filter(|e| e.is_resumable()) else {
             return;
         };
-        events.discard_partial();
+        events.restart();
         let Some(mut attempts) = self.attempts.take() else {
             return;
         };
@@ -308,7 +282,7 @@
             return;
         }
         let (shared, request) = (Rc::clone(&self.shared), Rc::clone(&self.request));
-        let last_event_id = events.last_event_id.clone();
+        let last_event_id = events.last_event_id().map(str::to_owned);
         self.state = RelayState::Resuming(Box::pin(async move {
             let result =
                 exchange::send(&shared, &request, &mut attempts, last_event_id.as_deref()).await;
@@ -320,10 +294,6 @@
     fn on_resumed(&mut self, (attempts, result): ResumeResult) {
         self.state = match result {
             Ok((call, response)) if response.status().is_success() => {
-                if let Some(scanner) = &mut self.scanner {
-                    scanner.restart();
-                }
-                self.partial_event_bytes = 0;
                 RelayState::Receiving(Box::new((call, response.into_body())))
             }
             _ => RelayState::Ended,
@@ -337,57 +307,3 @@
     Frame(Option<Result<Frame<Bytes>, hyper::Error>>),
     Resumed(Box<ResumeResult>),
 }
-
-/// Splits a stream of server-sent events into complete events and remembers the last event id.
-#[derive(Debug, Default)]
-pub(super) struct EventSplitter {
-    /// Bytes of the event that is not complete yet.
-    partial: BytesMut,
-    last_event_id: Option<String>,
-}
-
-impl EventSplitter {
-    /// Adds bytes of the stream; returns the events that are complete now.
-    fn push(&mut self, data: &[u8]) -> Option<Bytes> {
-        self.partial.extend_from_slice(data);
-        let complete_len = complete_events_len(&self.partial)?;
-        let complete = self.partial.split_to(complete_len).freeze();
-        if let Some(id) = last_event_id(&complete) {
-            self.last_event_id = Some(id);
-        }
-        Some(complete)
-    }
-
-    /// Returns whether the stream is between two events.
-    fn is_at_boundary(&self) -> bool {
-        self.partial.is_empty()
-    }
-
-    fn discard_partial(&mut self) {
-        self.partial.clear();
-    }
-}
-
-/// Returns the length of the complete events at the start of `bytes`, or `None` if there is none.
-///
-/// An event ends with an empty line; lines end with LF or CRLF.
-fn complete_events_len(bytes: &[u8]) -> Option<usize> {
-    let lf_len = bytes
-        .windows(2)
-        .rposition(|w| w == b"\n\n")
-        .map(|at| at + 2);
-    let crlf_len = bytes
-        .windows(4)
-        .rposition(|w| w == b"\r\n\r\n")
-        .map(|at| at + 4);
-    lf_len.max(crlf_len)
-}
-
-/// Returns the id of the last event that has one.
-fn last_event_id(events: &[u8]) -> Option<String> {
-    let line = events
-        .split(|b| *b == b'\n')
-        .rfind(|line| line.starts_with(b"id:"))?;
-    let id = std::str::from_utf8(&line[3..]).ok()?;
-    Some(id.trim().to_owned())
-}
--- /dev/null
+++ b/crates/vanillakeel-entry/src/gateway/relayed_events.rs
@@ -0,0 +1,96 @@
+//! The events of a stream that is relayed.
+//!
+//! [`RelayedEvents`] follows the events of any stream. Of a resumable one it also holds back each
+//! event until it is complete, since another upstream may send it again from its start.
+
+use bytes::{
+    Bytes,
+    BytesMut, //
+};
+use vanillakeel_http::EventScanner;
+
+/// Byte order mark, which may only stand at the beginning of a stream.
+const BYTE_ORDER_MARK: &[u8] = b"\xef\xbb\xbf";
+
+/// The events of a relayed stream.
+#[derive(Debug)]
+pub(super) struct RelayedEvents {
+    scanner: EventScanner,
+    is_resumable: bool,
+    /// Beginning of an event of a resumable stream that is not complete yet.
+    held: BytesMut,
+    /// Number of bytes after the last complete event.
+    partial_bytes: u64,
+    /// Whether the next bytes are the first ones of a run that continues the stream.
+    is_continued: bool,
+}
+
+impl RelayedEvents {
+    /// Creates the state at the beginning of a stream.
+    pub(super) fn new(is_resumable: bool) -> Self {
+        Self {
+            scanner: EventScanner::default(),
+            is_resumable,
+            held: BytesMut::new(),
+            partial_bytes: 0,
+            is_continued: false,
+        }
+    }
+
+    /// Adds bytes of the stream; returns those that can be relayed now.
+    pub(super) fn push(&mut self, data: Bytes) -> Option<Bytes> {
+        let complete = self.scanner.scan(&data);
+        let length = data.len() as u64;
+        self.partial_bytes = match complete {
+            Some(complete) => length - complete as u64,
+            None => self.partial_bytes + length,
+        };
+        if !self.is_resumable {
+            return Some(data);
+        }
+        let Some(complete) = complete else {
+            self.held.extend_from_slice(&data);
+            return None;
+        };
+        let (complete, partial) = data.split_at(complete);
+        self.held.extend_from_slice(complete);
+        let mut relayed = self.held.split().freeze();
+        self.held.extend_from_slice(partial);
+        if std::mem::take(&mut self.is_continued) && relayed.starts_with(BYTE_ORDER_MARK) {
+            let _ = relayed.split_to(BYTE_ORDER_MARK.len());
+        }
+        Some(relayed)
+    }
+
+    /// Returns whether another upstream may continue the stream.
+    pub(super) const fn is_resumable(&self) -> bool {
+        self.is_resumable
+    }
+
+    /// Returns whether the stream is between two events.
+    pub(super) const fn is_between_events(&self) -> bool {
+        self.scanner.is_between_events()
+    }
+
+    /// Returns the number of bytes after the last complete event.
+    pub(super) const fn partial_bytes(&self) -> u64 {
+        self.partial_bytes
+    }
+
+    /// Returns the id of the last complete event that has one.
+    pub(super) fn last_event_id(&self) -> Option<&str> {
+        self.scanner.last_event_id()
+    }
+
+    /// Prepares for a run that continues the stream after the last complete event.
+    pub(super) fn restart(&mut self) {
+        self.scanner.restart();
+        self.held.clear();
+        self.partial_bytes = 0;
+        self.is_continued = true;
+    }
+}
+
+#[cfg(test)]
+#[path = "../../tests/unit/held_events.rs"]
+mod held_events;
