fix: resume a stream only after an event that has an id

A resumable stream whose events have no ids, or an id that is empty or can't stand in a header, was continued by a run without Last-Event-Id, which starts anew: the caller got all events twice, in an answer that ended as complete. So did events without an id that followed one with an id.

Now: another run continues a stream only if no event has been relayed, or if the last one has an id that can be sent.

--- a/crates/vanillakeel-entry/src/gateway/exchange.rs
+++ b/crates/vanillakeel-entry/src/gateway/exchange.rs
@@ -24,6 +24,7 @@
     lines::Kind,
     progress::Progress,
     relay::Relay,
+    relayed_events::ResumePoint,
     request::RoutedRequest,
     shared::Shared, //
 };
@@ -146,7 +147,7 @@
 ) -> Result<Response<ResponseBody>, Refusal> {
     let mut server_error: Option<Response<ResponseBody>> = None;
     loop {
-        let failure = match send(shared, request, attempts, None).await {
+        let failure = match send(shared, request, attempts, &ResumePoint::Start).await {
             Ok((call, response)) => {
                 match prepare_response(shared, request, attempts, call, response).await {
                     Ok(UpstreamResponse::Final(response)) => return Ok(response),
@@ -241,7 +242,7 @@
 
 /// Makes one attempt: sends a request to the best upstream and waits for the head of its response.
 ///
-/// When a stream is resumed, `last_event_id` is the id of the last event that was relayed.
+/// When a stream is resumed, `resume_point` says where the upstream continues it.
 ///
 /// # Errors
 ///
@@ -251,7 +252,7 @@
     shared: &Rc<Shared>,
     request: &RoutedRequest,
     attempts: &mut Attempts,
-    last_event_id: Option<&str>,
+    resume_point: &ResumePoint,
 ) -> Result<(Call, Response<Incoming>), SendFailure> {
     let now = shared.clock.now();
     let info = RequestInfo {
@@ -278,7 +279,7 @@
         request,
         &call.pick,
         request.remaining_ms(now),
-        last_event_id,
+        resume_point,
     );
     attempts.tried.push(Arc::clone(&call.pick.name));
     attempts.possible_runs += 1;
@@ -401,7 +402,7 @@
     request: &RoutedRequest,
     pick: &Pick,
     remaining_ms: u64,
-    last_event_id: Option<&str>,
+    resume_point: &ResumePoint,
 ) -> Request<Full<Bytes>> {
     let names = &shared.header_names;
     let mut req = Request::new(Full::new(request.body.clone()));
@@ -417,9 +418,8 @@
     if let Some(value) = source.and_then(|a| HeaderValue::from_str(&a).ok()) {
         headers.insert(names.cache_source.clone(), value);
     }
-    let last_event_id = last_event_id.and_then(|id| HeaderValue::from_str(id).ok());
-    if let Some(id) = last_event_id {
-        headers.insert("last-event-id", id);
+    if let ResumePoint::After(id) = resume_point {
+        headers.insert("last-event-id", id.clone());
     }
     req
 }
--- a/crates/vanillakeel-entry/src/gateway/relay.rs
+++ b/crates/vanillakeel-entry/src/gateway/relay.rs
@@ -269,7 +269,10 @@
         {
             receiving.0.finish(CallOutcome::Failed);
         }
-        let Some(events) = self.events.as_mut().filter(|e| e.is_resumable()) else {
+        let Some(events) = &mut self.events else {
+            return;
+        };
+        let Some(resume_point) = events.resume_point() else {
             return;
         };
         events.restart();
@@ -282,10 +285,8 @@
             return;
         }
         let (shared, request) = (Rc::clone(&self.shared), Rc::clone(&self.request));
-        let last_event_id = events.last_event_id().map(str::to_owned);
         self.state = RelayState::Resuming(Box::pin(async move {
-            let result =
-                exchange::send(&shared, &request, &mut attempts, last_event_id.as_deref()).await;
+            let result = exchange::send(&shared, &request, &mut attempts, &resume_point).await;
             (attempts, result)
         }));
     }
--- a/crates/vanillakeel-entry/src/gateway/relayed_events.rs
+++ b/crates/vanillakeel-entry/src/gateway/relayed_events.rs
@@ -7,11 +7,21 @@
     Bytes,
     BytesMut, //
 };
+use http::HeaderValue;
 use vanillakeel_http::EventScanner;
 
 /// Byte order mark, which may only stand at the beginning of a stream.
 const BYTE_ORDER_MARK: &[u8] = b"\xef\xbb\xbf";
 
+/// Where a run at another upstream continues a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum ResumePoint {
+    /// At the beginning, since no event has been relayed.
+    Start,
+    /// After the event with this id.
+    After(HeaderValue),
+}
+
 /// The events of a relayed stream.
 #[derive(Debug)]
 pub(super) struct RelayedEvents {
@@ -62,9 +72,20 @@
         Some(relayed)
     }
 
-    /// Returns whether another upstream may continue the stream.
-    pub(super) const fn is_resumable(&self) -> bool {
-        self.is_resumable
+    /// Returns where another run may continue the stream without repeating an event or leaving one
+    /// out, or `None` if the stream can't be resumed.
+    pub(super) fn resume_point(&self) -> Option<ResumePoint> {
+        if !self.is_resumable || !self.scanner.ends_with_id() {
+            return None;
+        }
+        match self.scanner.last_event_id() {
+            None => Some(ResumePoint::Start),
+            // An empty id can't be sent.
+            Some("") => None,
+            Some(id) => HeaderValue::from_bytes(id.as_bytes())
+                .ok()
+                .map(ResumePoint::After),
+        }
     }
 
     /// Returns whether the stream is between two events.
@@ -77,11 +98,6 @@
         self.partial_bytes
     }
 
-    /// Returns the id of the last complete event that has one.
-    pub(super) fn last_event_id(&self) -> Option<&str> {
-        self.scanner.last_event_id()
-    }
-
     /// Prepares for a run that continues the stream after the last complete event.
     pub(super) fn restart(&mut self) {
         self.scanner.restart();
--- a/crates/vanillakeel-http/src/event_scanner.rs
+++ b/crates/vanillakeel-http/src/event_scanner.rs
@@ -37,9 +37,13 @@
     is_after_cr: bool,
     /// Whether the current event has a line that is no comment.
     has_fields: bool,
+    /// Whether the current event has a line of data.
+    has_data: bool,
     /// Id that the current event sets once it is complete.
     next_id: Option<String>,
     last_event_id: Option<String>,
+    /// Whether events with data have followed the last one with an id.
+    has_events_after_id: bool,
 }
 
 impl EventScanner {
@@ -81,10 +85,18 @@
         self.last_event_id.as_deref()
     }
 
+    /// Returns whether no event with data has followed the last one with an id, so that a stream that
+    /// continues after this id neither repeats an event nor leaves one out.
+    #[must_use]
+    pub const fn ends_with_id(&self) -> bool {
+        !self.has_events_after_id
+    }
+
     /// Starts anew with another stream that continues this one after the last complete event.
     pub fn restart(&mut self) {
         *self = Self {
             last_event_id: self.last_event_id.take(),
+            has_events_after_id: self.has_events_after_id,
             ..Self::default()
         };
     }
@@ -100,12 +112,10 @@
         }
         self.is_past_first_line = true;
         if length == 0 {
-            self.has_fields = false;
-            if let Some(id) = self.next_id.take() {
-                self.last_event_id = Some(id);
-            }
+            self.on_event_end();
         } else if !line.starts_with(b":") {
             self.has_fields = true;
+            self.has_data |= is_data(line);
             if length <= MAX_ID_LINE_BYTES
                 && let Some(id) = parse_id(line)
             {
@@ -115,6 +125,22 @@
         self.line.clear();
         self.line_length = 0;
     }
+
+    fn on_event_end(&mut self) {
+        self.has_fields = false;
+        let has_data = std::mem::take(&mut self.has_data);
+        if let Some(id) = self.next_id.take() {
+            self.last_event_id = Some(id);
+            self.has_events_after_id = false;
+        } else if has_data {
+            self.has_events_after_id = true;
+        }
+    }
+}
+
+/// Returns whether a line is a field of data.
+fn is_data(line: &[u8]) -> bool {
+    line == b"data" || line.starts_with(b"data:")
 }
 
 /// Returns the event id that a line sets, if it does.
