fix: a cut answer looks cut to a caller that knows no chunks

An answer without a length to a caller of HTTP/1.0 ends with the connection. When its upstream failed, its time was over or the instance itself ended, the connection was closed in order, as after a complete answer.

Now: while such an answer is not complete, its socket is set to reset the connection on closing. This is set before anything is written, so it holds for every end, that of a killed process included, and taken back at the complete end.

--- a/crates/vanillakeel-entry/src/gateway/accept.rs
+++ b/crates/vanillakeel-entry/src/gateway/accept.rs
@@ -17,7 +17,10 @@
 };
 use hyper_util::rt::TokioIo;
 use std::{
-    cell::RefCell,
+    cell::{
+        Cell,
+        RefCell, //
+    },
     convert::Infallible,
     io,
     pin::pin,
@@ -45,6 +48,9 @@
 pub(super) struct CallerConnection {
     shared: Rc<Shared>,
     pub(super) scanner: RefCell<FramingScanner>,
+    /// Whether the connection is reset if it is closed now, because it is the end of an answer that is
+    /// not complete.
+    pub(super) resets_on_close: Cell<bool>,
 }
 
 impl CallerConnection {
@@ -115,6 +121,7 @@
     let connection = Rc::new(CallerConnection {
         shared: Rc::clone(&shared),
         scanner: RefCell::new(scanner),
+        resets_on_close: Cell::new(false),
     });
     let io = TokioIo::new(ScannedStream::new(
         stream,
--- a/crates/vanillakeel-entry/src/gateway/guard.rs
+++ b/crates/vanillakeel-entry/src/gateway/guard.rs
@@ -9,8 +9,10 @@
 
 use super::accept::CallerConnection;
 use crate::Clock;
+use socket2::SockRef;
 use std::{
     io,
+    os::fd::AsFd,
     pin::Pin,
     rc::Rc,
     task::{
@@ -18,6 +20,7 @@
         Poll,
         ready, //
     },
+    time::Duration,
 };
 use tokio::io::{
     AsyncRead,
@@ -173,11 +176,16 @@
 }
 
 /// A socket whose input is scanned.
+///
+/// While [`CallerConnection::resets_on_close`] is set, closing the socket resets the connection. This
+/// is set on the socket itself before anything is written, so that it also holds if the process ends.
 #[derive(Debug)]
 pub(super) struct ScannedStream<S> {
     inner: S,
     connection: Rc<CallerConnection>,
     clock: Clock,
+    /// Whether the socket is set to reset the connection on closing.
+    resets_on_close: bool,
 }
 
 impl<S> ScannedStream<S> {
@@ -186,10 +194,24 @@
             inner,
             connection,
             clock,
+            resets_on_close: false,
         }
     }
 }
 
+impl<S: AsFd> ScannedStream<S> {
+    /// Sets on the socket whether closing it resets the connection.
+    fn apply_reset_on_close(&mut self) -> io::Result<()> {
+        let resets_on_close = self.connection.resets_on_close.get();
+        if resets_on_close != self.resets_on_close {
+            let linger = resets_on_close.then_some(Duration::ZERO);
+            SockRef::from(&self.inner).set_linger(linger)?;
+            self.resets_on_close = resets_on_close;
+        }
+        Ok(())
+    }
+}
+
 impl<S: AsyncRead + Unpin> AsyncRead for ScannedStream<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -208,12 +230,13 @@
     }
 }
 
-impl<S: AsyncWrite + Unpin> AsyncWrite for ScannedStream<S> {
+impl<S: AsyncWrite + AsFd + Unpin> AsyncWrite for ScannedStream<S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.apply_reset_on_close()?;
         Pin::new(&mut self.inner).poll_write(cx, buf)
     }
 
@@ -222,6 +245,7 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.apply_reset_on_close()?;
         Pin::new(&mut self.inner).poll_shutdown(cx)
     }
 
@@ -230,6 +254,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.apply_reset_on_close()?;
         Pin::new(&mut self.inner).poll_write_vectored(cx, bufs)
     }
 
--- a/crates/vanillakeel-entry/src/gateway/relay.rs
+++ b/crates/vanillakeel-entry/src/gateway/relay.rs
@@ -83,6 +83,8 @@
     progress: Progress,
     /// Guards that count the request as open; they are dropped together with the body.
     held_until_end: Option<Box<dyn Any>>,
+    /// Called at the end of a complete body.
+    on_complete: Option<Box<dyn FnOnce()>>,
 }
 
 impl Relay {
@@ -105,6 +107,7 @@
             buffered: None,
             progress: Progress::default(),
             held_until_end: None,
+            on_complete: None,
         }
     }
 
@@ -130,6 +133,11 @@
         self.held_until_end = Some(value);
     }
 
+    /// Calls `on_complete` once the body has ended and is complete.
+    pub(super) fn on_complete(&mut self, on_complete: Box<dyn FnOnce()>) {
+        self.on_complete = Some(on_complete);
+    }
+
     /// Polls for the next bytes for the caller.
     ///
     /// # Errors
@@ -223,6 +231,9 @@
                 ending,
             );
         }
+        if let Some(on_complete) = self.on_complete.take() {
+            on_complete();
+        }
     }
 
     /// Ends the body with an error.
--- a/crates/vanillakeel-entry/src/gateway/request.rs
+++ b/crates/vanillakeel-entry/src/gateway/request.rs
@@ -22,6 +22,7 @@
     Request,
     Response,
     Uri,
+    Version,
     header,
     request, //
 };
@@ -105,6 +106,7 @@
     req: Request<Incoming>,
 ) -> Response<ResponseBody> {
     let arrived = shared.clock.now();
+    let knows_chunks = req.version() >= Version::HTTP_11;
     let open_request = OpenRequest::new(&shared);
     let is_unambiguous = connection.scanner.borrow_mut().begin_request();
     let id =
@@ -146,7 +148,14 @@
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
+    let ends_with_connection =
+        !knows_chunks && !response.headers().contains_key(header::CONTENT_LENGTH);
     if let ResponseBody::Relayed(relay) = response.body_mut() {
+        if ends_with_connection {
+            connection.resets_on_close.set(true);
+            let connection = Rc::clone(&connection);
+            relay.on_complete(Box::new(move || connection.resets_on_close.set(false)));
+        }
         relay.hold_until_end(Box::new((open_request, connection.hold_in_use())));
     } else {
         connection.on_response_end();
