fix: a stream is not complete if its upstream has crashed

The process of an upstream that ends closes its connections in order. A stream without a length or chunks that it was sending then ends like a complete one, mostly between two events, since each event is one write.

Now: after such an end, a connection to the upstream is opened, which the next request can use. If the upstream refuses it although it is listed as live, it has crashed and the stream is broken, or is resumed elsewhere. An upstream that was removed or drains may have ended its last stream and gone.

Evidence: answer_endings::closed_between_events, whose case of a crash looked complete before.

--- a/crates/vanillakeel-entry/src/gateway/exchange.rs
+++ b/crates/vanillakeel-entry/src/gateway/exchange.rs
@@ -49,6 +49,7 @@
     Incoming, //
 };
 use std::{
+    io,
     rc::Rc,
     sync::Arc,
     time::Duration, //
@@ -79,6 +80,9 @@
 /// Longest wait of any request for an available upstream, counted from its arrival, in ms.
 const MAX_UPSTREAM_WAIT_MS: u64 = 250;
 
+/// Time limit for the connection by which a crash of an upstream is ruled out, in ms.
+const CRASH_CHECK_MS: u64 = 200;
+
 /// Time to the deadline below which a request is refused instead of sent, in ms.
 const MIN_REMAINING_MS: u64 = 5;
 
@@ -381,6 +385,30 @@
     }
 }
 
+/// Returns whether the upstream of a call has crashed: it is listed as live, but refuses connections.
+///
+/// The connection that is opened for this replaces the one of the call, which has ended.
+pub(super) async fn has_upstream_crashed(shared: &Shared, call: &mut Call) -> bool {
+    let is_live = |pick: &Pick| {
+        let fleet = shared.fleet.borrow();
+        fleet.is_live(&pick.name, pick.incarnation)
+    };
+    if !is_live(&call.pick) {
+        return false;
+    }
+    let limit = Duration::from_millis(CRASH_CHECK_MS);
+    let opening = HttpConnection::open(call.pick.address, shared.connection_timeouts());
+    match timeout(limit, opening).await {
+        Ok(Ok(connection)) => {
+            shared.metrics.upstream_connections.inc();
+            call.connection = Some(connection);
+            false
+        }
+        Ok(Err(e)) => e.kind() == io::ErrorKind::ConnectionRefused && is_live(&call.pick),
+        Err(_) => false,
+    }
+}
+
 /// A reserved place for a new connection.
 ///
 /// Dropping it releases the place, if the connection fails or the request is cancelled meanwhile.
--- a/crates/vanillakeel-entry/src/gateway/relay.rs
+++ b/crates/vanillakeel-entry/src/gateway/relay.rs
@@ -3,7 +3,11 @@
 //! A resumable stream is relayed in complete events: if its upstream fails, another upstream
 //! continues it after the last event that was relayed. Any other body is relayed unchanged, and a
 //! failure of the upstream ends it with an error, so that the caller can tell it from a complete
-//! one. A stream that ends within an event has failed, even if its connection was closed in order.
+//! one.
+//!
+//! The end of the bytes is the end of the body only if something says so: the length, a last chunk, or
+//! an orderly end of the connection. A stream also has to end between two events and, if it ends with
+//! its connection, its upstream must not have crashed.
 
 use super::{
     answer::BodyError,
@@ -14,6 +18,7 @@
         Ending,
         SendFailure, //
     },
+    framing::BodyFraming,
     lines,
     progress::Progress,
     relayed_events::RelayedEvents,
@@ -59,14 +64,21 @@
 /// A running attempt to resume a broken stream.
 type ResumeFuture = LocalBoxFuture<'static, ResumeResult>;
 
+/// A running check whether the upstream of a call has crashed.
+type ConfirmFuture = LocalBoxFuture<'static, (Call, bool)>;
+
 /// State of a relayed body.
 enum RelayState {
     /// An upstream is sending the body.
     Receiving(Box<(Call, Incoming)>),
+    /// The stream has ended with its connection, and its upstream may have crashed.
+    Confirming(ConfirmFuture),
     /// Another upstream is being asked to continue the stream.
     Resuming(ResumeFuture),
-    /// The body has ended, completely or not.
-    Ended,
+    /// The complete body has been relayed.
+    Complete,
+    /// The body has ended and is not complete.
+    Broken,
 }
 
 /// A response body that is being relayed.
@@ -155,10 +167,14 @@
         }
         loop {
             let polled = match &mut self.state {
-                RelayState::Ended => return Poll::Ready(None),
+                RelayState::Complete | RelayState::Broken => return Poll::Ready(None),
                 RelayState::Receiving(receiving) => {
                     Polled::Frame(ready!(Pin::new(&mut receiving.1).poll_frame(cx)))
                 }
+                RelayState::Confirming(confirm) => {
+                    let (call, has_crashed) = ready!(confirm.as_mut().poll(cx));
+                    Polled::Confirmed(Box::new(call), has_crashed)
+                }
                 RelayState::Resuming(resume) => {
                     Polled::Resumed(Box::new(ready!(resume.as_mut().poll(cx))))
                 }
@@ -170,16 +186,20 @@
                         return Poll::Ready(Some(Ok(Frame::data(bytes))));
                     }
                 }
-                Polled::Frame(None) if self.is_complete() => {
-                    self.finish();
-                    return Poll::Ready(None);
+                Polled::Frame(None) => self.on_end(),
+                Polled::Frame(Some(Err(e))) => self.on_error(&e),
+                Polled::Confirmed(call, false) => self.complete(*call),
+                Polled::Confirmed(call, true) => {
+                    self.on_upstream_failure(*call, "ended with its upstream", None);
                 }
-                Polled::Frame(None) => self.on_upstream_failure("ended within an event", None),
-                Polled::Frame(Some(Err(e))) => self.on_upstream_failure("broke off", Some(&e)),
                 Polled::Resumed(resumed) => self.on_resumed(*resumed),
             }
-            if let RelayState::Ended = self.state {
-                return Poll::Ready(Some(Err("the upstream's answer broke off".into())));
+            match self.state {
+                RelayState::Complete => return Poll::Ready(None),
+                RelayState::Broken => {
+                    return Poll::Ready(Some(Err("the upstream's answer broke off".into())));
+                }
+                _ => {}
             }
         }
     }
@@ -213,24 +233,57 @@
             .is_none_or(RelayedEvents::is_between_events)
     }
 
-    /// Ends a complete body.
-    fn finish(&mut self) {
-        if let RelayState::Receiving(receiving) =
-            std::mem::replace(&mut self.state, RelayState::Ended)
-        {
-            let (call, _) = *receiving;
-            let ending = self.ending(&call);
-            let upstream = Arc::clone(call.upstream());
-            call.finish(CallOutcome::Success);
-            exchange::log_response(
-                &self.shared,
-                &self.request,
-                &upstream,
-                StatusCode::OK,
-                &self.progress,
-                ending,
-            );
+    /// Takes the call whose body is being received, which is then no longer received.
+    fn take_call(&mut self) -> Option<Call> {
+        match std::mem::replace(&mut self.state, RelayState::Broken) {
+            RelayState::Receiving(receiving) => Some(receiving.0),
+            _ => None,
         }
+    }
+
+    /// Handles the end of the upstream's body, as its framing marks it.
+    fn on_end(&mut self) {
+        let is_complete = self.is_complete();
+        let Some(mut call) = self.take_call() else {
+            return;
+        };
+        if !is_complete {
+            self.on_upstream_failure(call, "ended within an event", None);
+            return;
+        }
+        if self.events.is_none() || call.framing != BodyFraming::Connection {
+            self.complete(call);
+            return;
+        }
+        // The connection ends in the same way if the process ends between two events.
+        let shared = Rc::clone(&self.shared);
+        self.state = RelayState::Confirming(Box::pin(async move {
+            let has_crashed = exchange::has_upstream_crashed(&shared, &mut call).await;
+            (call, has_crashed)
+        }));
+    }
+
+    /// Handles an error of the connection to the upstream.
+    fn on_error(&mut self, error: &hyper::Error) {
+        if let Some(call) = self.take_call() {
+            self.on_upstream_failure(call, "broke off", Some(error));
+        }
+    }
+
+    /// Ends a complete body.
+    fn complete(&mut self, call: Call) {
+        let ending = self.ending(&call);
+        let upstream = Arc::clone(call.upstream());
+        call.finish(CallOutcome::Success);
+        exchange::log_response(
+            &self.shared,
+            &self.request,
+            &upstream,
+            StatusCode::OK,
+            &self.progress,
+            ending,
+        );
+        self.state = RelayState::Complete;
         if let Some(on_complete) = self.on_complete.take() {
             on_complete();
         }
@@ -238,19 +291,15 @@
 
     /// Ends the body with an error.
     fn fail(&mut self, reason: &'static str) -> BodyError {
-        self.log_cut(reason, None);
-        self.state = RelayState::Ended;
+        let call = self.take_call();
+        self.log_cut(call.as_ref(), reason, None);
         reason.into()
     }
 
     /// Records in the metrics and the log that an upstream has not sent the complete body.
     ///
     /// `error` is what the HTTP library reports of the connection, if it has failed.
-    fn log_cut(&self, reason: &str, error: Option<&hyper::Error>) {
-        let call = match &self.state {
-            RelayState::Receiving(receiving) => Some(&receiving.0),
-            _ => None,
-        };
+    fn log_cut(&self, call: Option<&Call>, reason: &str, error: Option<&hyper::Error>) {
         let ending = call.map(|call| self.ending(call));
         self.shared.metrics.broken_answers.inc();
         if !self.shared.may_log(lines::Kind::Failure) {
@@ -273,13 +322,10 @@
     /// Handles a failure of the upstream: resumes the stream at another one if that is allowed.
     ///
     /// The partial event is discarded, since the next upstream sends it again from its start.
-    fn on_upstream_failure(&mut self, reason: &'static str, error: Option<&hyper::Error>) {
-        self.log_cut(reason, error);
-        if let RelayState::Receiving(receiving) =
-            std::mem::replace(&mut self.state, RelayState::Ended)
-        {
-            receiving.0.finish(CallOutcome::Failed);
-        }
+    fn on_upstream_failure(&mut self, call: Call, reason: &str, error: Option<&hyper::Error>) {
+        self.log_cut(Some(&call), reason, error);
+        call.finish(CallOutcome::Failed);
+        self.state = RelayState::Broken;
         let Some(events) = &mut self.events else {
             return;
         };
@@ -308,7 +354,7 @@
             Ok((call, response)) if response.status().is_success() => {
                 RelayState::Receiving(Box::new((call, response.into_body())))
             }
-            _ => RelayState::Ended,
+            _ => RelayState::Broken,
         };
         self.attempts = Some(attempts);
     }
@@ -317,5 +363,7 @@
 /// Result of a poll of the upstream.
 enum Polled {
     Frame(Option<Result<Frame<Bytes>, hyper::Error>>),
+    /// The call, and whether its upstream has crashed.
+    Confirmed(Box<Call>, bool),
     Resumed(Box<ResumeResult>),
 }
