fix: a body that is shorter than its length is an error

The library for outgoing requests takes the end of the connection for the end of a body that has a length. A cut answer of a plain service was framed anew with the length of what had arrived and reached its caller as complete. A cut page of the log service counted as one with fewer records and, where it was cut before the end offset, as the last one, so records could be missed by whoever decides by them. Reports, lists and pages for operators were read in the same way. A page over the largest size was cut to it.

A page of the log has to have a length or come in chunks, since a cut one may be decoded.

--- a/crates/vanillakeel-bench/src/cluster.rs
+++ b/crates/vanillakeel-bench/src/cluster.rs
@@ -34,6 +34,7 @@
     Settings, //
 };
 use vanillakeel_http::{
+    Body,
     Method,
     request, //
 };
@@ -62,6 +63,9 @@
 /// Name of the model that the engines hold at the start.
 pub const MODEL: &str = "deed-writer";
 
+/// Largest page for operators that is read, in bytes.
+const MAX_PAGE_BYTES: usize = 16 << 20;
+
 /// Time within which a configuration has to be in force, and all instances have to be ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -351,7 +355,8 @@
         .send()
         .ok()?;
     let is_success = answer.is_success();
-    Some((is_success, answer.text().ok()?))
+    let body = Body::read_all(answer, MAX_PAGE_BYTES).ok()?;
+    Some((is_success, String::from_utf8(body).ok()?))
 }
 
 fn is_ready(operators: SocketAddr) -> bool {
--- a/crates/vanillakeel-bench/src/load.rs
+++ b/crates/vanillakeel-bench/src/load.rs
@@ -27,6 +27,7 @@
     order::Random, //
 };
 use vanillakeel_http::{
+    Body,
     Events,
     Method,
     request, //
@@ -36,6 +37,9 @@
     token_text, //
 };
 
+/// Largest answer of a plain service that is read, in bytes.
+const MAX_ANSWER_BYTES: usize = 1 << 20;
+
 /// Time after which a caller gives up.
 const CALLER_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -258,8 +262,8 @@
     if class.path.is_some() {
         return plain_answer(answer, planned, start);
     }
-    let (_, _, reader) = answer.split();
-    stream_answer(reader, &prompt, class.max_tokens, start)
+    let (_, _, body) = Body::split(answer);
+    stream_answer(body, &prompt, class.max_tokens, start)
 }
 
 /// Reads the answer of a plain service and compares it with the expected one.
@@ -268,10 +272,10 @@
     planned: &PlannedRequest,
     start: Instant,
 ) -> CallResult {
-    let Ok(text) = answer.text() else {
+    let Ok(body) = Body::read_all(answer, MAX_ANSWER_BYTES) else {
         return CallResult::Lost;
     };
-    if text != format!("{} done", planned.tag) {
+    if body != format!("{} done", planned.tag).into_bytes() {
         return CallResult::Crossed;
     }
     CallResult::Answered {
--- a/crates/vanillakeel-bench/tests/whole_session.rs
+++ b/crates/vanillakeel-bench/tests/whole_session.rs
@@ -17,10 +17,14 @@
     },
 };
 use vanillakeel_http::{
+    Body,
     Method,
     request, //
 };
 
+/// Largest body that is read, in bytes.
+const MAX_BODY_BYTES: usize = 1 << 20;
+
 /// Response headers that the golden file contains.
 const GOLDEN_HEADERS: [&str; 4] = [
     "content-type",
@@ -127,7 +131,8 @@
             let _ = writeln!(text, "{name}: {}", value.to_str().expect("a text"));
         }
     }
-    let _ = writeln!(text, "\n{}\n", answer.text().expect("a whole body"));
+    let body = Body::read_all(answer, MAX_BODY_BYTES).expect("a whole body");
+    let _ = writeln!(text, "\n{}\n", String::from_utf8_lossy(&body));
     text
 }
 
--- a/crates/vanillakeel-ctl/src/main.rs
+++ b/crates/vanillakeel-ctl/src/main.rs
@@ -29,6 +29,7 @@
     read_log_state, //
 };
 use vanillakeel_http::{
+    Body,
     Method,
     request, //
 };
@@ -37,6 +38,9 @@
 /// Exit code for invalid arguments and unreadable or invalid files.
 const BAD_INPUT_EXIT_CODE: u8 = 2;
 
+/// Largest status page that is read, in bytes.
+const MAX_STATUS_BYTES: usize = 16 << 20;
+
 /// Timeout for reading the status page of an instance.
 const STATUS_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -273,7 +277,8 @@
 fn read_status(instance: SocketAddr) -> Result<String, Box<dyn std::error::Error>> {
     let url = format!("http://{instance}/status");
     let response = request(Method::GET, &url, STATUS_TIMEOUT).send()?;
-    let json: serde_json::Value = serde_json::from_slice(&response.bytes()?)?;
+    let json: serde_json::Value =
+        serde_json::from_slice(&Body::read_all(response, MAX_STATUS_BYTES)?)?;
     Ok(serde_json::to_string_pretty(&json)?)
 }
 
--- a/crates/vanillakeel-entry/src/platform/list.rs
+++ b/crates/vanillakeel-entry/src/platform/list.rs
@@ -24,10 +24,14 @@
     State, //
 };
 use vanillakeel_http::{
+    Body,
     Method,
     request, //
 };
 
+/// Largest list that is read, in bytes.
+const MAX_LIST_BYTES: usize = 64 << 20;
+
 /// Timeout of a read.
 const TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -94,6 +98,7 @@
     if !answer.is_success() {
         return None;
     }
-    let items: Vec<Item> = serde_json::from_slice(&answer.bytes().ok()?).ok()?;
+    let body = Body::read_all(answer, MAX_LIST_BYTES).ok()?;
+    let items: Vec<Item> = serde_json::from_slice(&body).ok()?;
     Some(items.iter().filter_map(Item::member).collect())
 }
--- a/crates/vanillakeel-entry/src/platform/load.rs
+++ b/crates/vanillakeel-entry/src/platform/load.rs
@@ -25,10 +25,14 @@
 };
 use vanillakeel::routing::LoadReport;
 use vanillakeel_http::{
+    Body,
     Method,
     request, //
 };
 
+/// Largest answer to a poll, in bytes.
+const MAX_ANSWER_BYTES: usize = 4 << 20;
+
 /// Timeout of a poll.
 const TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -182,5 +186,5 @@
     if !answer.is_success() {
         return None;
     }
-    serde_json::from_slice(&answer.bytes().ok()?).ok()
+    serde_json::from_slice(&Body::read_all(answer, MAX_ANSWER_BYTES).ok()?).ok()
 }
--- a/crates/vanillakeel-entry/src/upstream.rs
+++ b/crates/vanillakeel-entry/src/upstream.rs
@@ -16,10 +16,7 @@
 };
 use crossbeam::channel::Sender;
 use std::{
-    io::{
-        self,
-        Read as _, //
-    },
+    io,
     net::SocketAddr,
     sync::{
         Arc,
@@ -32,6 +29,7 @@
 };
 use vanillakeel::Verdict;
 use vanillakeel_http::{
+    Body,
     Events,
     request, //
 };
@@ -148,11 +146,11 @@
     answer: Response,
     tx: &Sender<AttemptMessage>,
 ) -> AttemptOutcome {
-    let (_, _, reader) = answer.split();
+    let (_, _, body) = Body::split(answer);
     let broken = AttemptOutcome::Failed {
         verdict: Verdict::MayHaveRun,
     };
-    for event in Events::new(reader) {
+    for event in Events::new(body) {
         let Ok(data) = event else { return broken };
         if data == DONE {
             return AttemptOutcome::Done;
@@ -207,18 +205,15 @@
 
 /// Reads a complete answer; returns `None` if it was cut or is too large.
 fn read_whole(answer: Response, limit: usize) -> Option<WholeAnswer> {
-    let (status, headers, reader) = answer.split();
+    let (status, headers, body) = Body::split(answer);
     let content_type = headers.get("content-type").and_then(|v| v.to_str().ok());
     let content_type = content_type
         .unwrap_or("application/octet-stream")
         .to_owned();
-    let mut body = Vec::new();
-    let limit_plus_one = limit as u64 + 1;
-    reader.take(limit_plus_one).read_to_end(&mut body).ok()?;
-    (body.len() <= limit).then_some(WholeAnswer {
+    Some(WholeAnswer {
         status: status.as_u16(),
         content_type,
-        body,
+        body: body.into_bytes(limit).ok()?,
     })
 }
 
@@ -230,3 +225,7 @@
         body: b"the upstream's refusal could not be read\n".to_vec(),
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/cut_answers.rs"]
+mod cut_answers;
--- a/crates/vanillakeel-http/src/lib.rs
+++ b/crates/vanillakeel-http/src/lib.rs
@@ -1,6 +1,7 @@
 //! HTTP helpers that the daemons and the stand-ins share.
 //!
 //! - [`request`] builds an outgoing request without proxies, redirects or retries.
+//! - [`Body`] reads the body of an answer and fails if it is cut short.
 //! - [`listen`] opens a server socket that sends small writes without delay (no Nagle algorithm).
 //! - [`Server`] runs a handler for each request, each in its own thread.
 //! - [`ChunkedResponse`] writes a response of unknown length chunk by chunk. The chunked response
@@ -17,6 +18,7 @@
 //! assert_eq!(events, ["one", "two"]);
 //! ```
 
+mod body;
 mod client;
 mod event_scanner;
 mod events;
@@ -24,6 +26,7 @@
 mod stream;
 
 pub use self::{
+    body::Body,
     client::request,
     event_scanner::EventScanner,
     events::Events,
--- a/crates/vanillakeel-log/src/lib.rs
+++ b/crates/vanillakeel-log/src/lib.rs
@@ -13,11 +13,11 @@
 //! ```
 
 use std::{
-    io::Read as _,
     net::SocketAddr,
     time::Duration, //
 };
 use vanillakeel_http::{
+    Body,
     Method,
     request, //
 };
@@ -36,7 +36,7 @@
 const APPEND_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Largest page that is read; bounds the memory of a response.
-const MAX_PAGE_BYTES: u64 = 64 << 20;
+const MAX_PAGE_BYTES: usize = 64 << 20;
 
 /// A page of records of the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -83,7 +83,8 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if there was no response, an error status, or a page that can't be decoded.
+    /// Returns an error if there was no response, an error status, or a page that is cut or can't be
+    /// decoded. A page has to have a length or come in chunks.
     pub fn read(&self, from: u64, wait: Duration) -> Result<Page, Unavailable> {
         let wait_ms = wait.as_millis();
         let address = self.address;
@@ -94,12 +95,12 @@
         if !response.is_success() {
             return Err(Unavailable);
         }
-        let (_, _, reader) = response.split();
-        let mut bytes = Vec::new();
-        reader
-            .take(MAX_PAGE_BYTES)
-            .read_to_end(&mut bytes)
-            .map_err(|_| Unavailable)?;
+        let (_, _, body) = Body::split(response);
+        // A page that is cut between two entries can be decoded, as one with fewer entries.
+        if !body.is_framed() {
+            return Err(Unavailable);
+        }
+        let bytes = body.into_bytes(MAX_PAGE_BYTES).map_err(|_| Unavailable)?;
         let page = LogPage::decode(bytes.as_slice()).map_err(|_| Unavailable)?;
         Ok(decode_page(from, &page))
     }
--- a/crates/vanillakeel-standin/tests/interfaces.rs
+++ b/crates/vanillakeel-standin/tests/interfaces.rs
@@ -9,6 +9,7 @@
     time::Duration, //
 };
 use vanillakeel_http::{
+    Body,
     Events,
     Method,
     request, //
@@ -35,6 +36,8 @@
 
 /// Limit on each request; long enough for a busy machine.
 const TIMEOUT: Duration = Duration::from_secs(20);
+/// Largest body that is read, in bytes.
+const MAX_BODY_BYTES: usize = 1 << 20;
 /// The first word is the tag of the request, with which each token of the answer begins.
 const PROMPT: &str = "deed-4 for a tender";
 
@@ -46,7 +49,13 @@
     let url = format!("http://{address}{path}");
     let answer = request(Method::POST, &url, TIMEOUT).text(body).send();
     let answer = answer.expect("an answer");
-    (answer.status().as_u16(), answer.text().unwrap_or_default())
+    (answer.status().as_u16(), text(answer))
+}
+
+/// Returns the whole body of an answer.
+fn text(answer: attohttpc::Response) -> String {
+    let body = Body::read_all(answer, MAX_BODY_BYTES).expect("a whole body");
+    String::from_utf8(body).expect("UTF-8")
 }
 
 /// Reads a page from offset `from` without waiting.
@@ -55,7 +64,8 @@
     let answer = request(Method::GET, &url, TIMEOUT)
         .send()
         .expect("an answer");
-    LogPage::decode(answer.bytes().expect("a body").as_slice()).expect("a page")
+    let body = Body::read_all(answer, MAX_BODY_BYTES).expect("a whole body");
+    LogPage::decode(body.as_slice()).expect("a page")
 }
 
 fn engine(checks_fencing: bool) -> Engine {
@@ -104,8 +114,8 @@
         .header("x-resume-from", from)
         .text(body.to_string())
         .send();
-    let (_, _, reader) = answer.expect("an answer").split();
-    Events::new(reader).map(|e| e.expect("an event")).collect()
+    let (_, _, body) = Body::split(answer.expect("an answer"));
+    Events::new(body).map(|e| e.expect("an event")).collect()
 }
 
 /// A resumed stream sends exactly the tokens that the caller does not have, and `[DONE]`, also if
@@ -164,5 +174,5 @@
     let answer = request(Method::GET, &url, TIMEOUT)
         .send()
         .expect("an answer");
-    assert_eq!(answer.text().expect("a body"), "[]");
+    assert_eq!(text(answer), "[]");
 }
