fix: an event counts only with the empty line after it

A stream that ended within an event gave that event as if it were whole, before the attempt counted as broken. With an event of several lines the caller got a part of it, and the run that resumed the stream went on after it.

Now: an event without its empty line is an error of the stream, as the format says.

--- a/crates/vanillakeel-http/src/events.rs
+++ b/crates/vanillakeel-http/src/events.rs
@@ -17,8 +17,7 @@
 /// An iterator over the `data` fields of a server-sent event stream, one item per event.
 ///
 /// Several `data` lines of one event are joined by line breaks. An item is an error if reading
-/// fails, or if the stream ends inside a line or a line is longer than 1 MiB. The last event counts
-/// even if the stream ends without the empty line after it.
+/// fails, if the stream ends within an event, or if a line is longer than 1 MiB.
 #[derive(Debug)]
 pub struct Events<R> {
     reader: BufReader<R>,
@@ -57,7 +56,11 @@
         loop {
             let line = match self.read_line() {
                 Ok(Some(line)) => line,
-                Ok(None) => return data.map(Ok),
+                Ok(None) if data.is_none() => return None,
+                Ok(None) => {
+                    let reason = "the event stream ended within an event";
+                    return Some(Err(Error::new(ErrorKind::UnexpectedEof, reason)));
+                }
                 Err(e) => return Some(Err(e)),
             };
             if line.is_empty() {
