fix: lines of an event stream end with CR, LF or CRLF

Its reader of event streams knew LF and CRLF only: of a stream with CR it read one line, which grew up to the limit of 1 MiB, and no event; a byte order mark hid the first field.

--- a/crates/vanillakeel-http/tests/read_events.rs
+++ b/crates/vanillakeel-http/tests/read_events.rs
@@ -34,3 +34,25 @@
         )
     );
 }
+
+/// Lines end with CR, LF or CRLF.
+///
+/// Guards against streams of which no event is read.
+#[rstest]
+#[case::line_feeds("data: a\n\ndata: b\n\n")]
+#[case::carriage_returns("data: a\r\rdata: b\r\r")]
+#[case::both("data: a\r\n\r\ndata: b\r\n\r\n")]
+#[case::mixed("data: a\n\r\ndata: b\r\r\n")]
+#[case::byte_order_mark("\u{feff}data: a\n\ndata: b\n\n")]
+fn line_ends(#[case] stream: &str) {
+    assert_eq!(read(stream), (vec!["a".to_owned(), "b".to_owned()], false));
+}
+
+/// A line that is too long is an error, whether or not it ends.
+#[rstest]
+#[case::ended("\n\n")]
+#[case::not_ended("")]
+fn long_line(#[case] end: &str) {
+    let stream = format!("data: {}{end}", "a".repeat(2 << 20));
+    assert_eq!(read(&stream), (Vec::new(), true));
+}
