fix: events on other routes have to be complete, too

On a route that is not for streams, a body of events that ended with its connection within an event was buffered and framed anew as complete, or relayed as complete if it was long.

Now: the content type decides on every route whether a body consists of events; a buffered one that ends within an event counts as broken, so that it can be retried where the route allows. The bytes that were buffered before a long body is relayed are counted, too.

--- a/crates/vanillakeel-entry/src/gateway/exchange.rs
+++ b/crates/vanillakeel-entry/src/gateway/exchange.rs
@@ -536,20 +536,26 @@
 ) -> Result<UpstreamResponse, SendFailure> {
     let (mut head, body) = response.into_parts();
     headers::strip_hop_by_hop(&mut head.headers);
-    if request.route.kind.is_stream() && head.status.is_success() {
-        let attempts = std::mem::take(attempts);
-        let mut relay = Relay::new(shared, request, attempts, call, body);
-        if framing::has_events(&head.headers) {
-            // The length is that of this run, which a run at another upstream may continue, and a
-            // caller that has read it can no longer be told that the stream is broken.
-            head.headers.remove(header::CONTENT_LENGTH);
-            relay = relay.with_events();
+    let is_success = head.status.is_success();
+    let is_stream_route = request.route.kind.is_stream();
+    let has_events = is_success && framing::has_events(&head.headers, is_stream_route);
+    let buffered = if is_success && is_stream_route {
+        BufferedBody::Partial(Bytes::new(), body)
+    } else {
+        match buffer_body(body).await {
+            Ok(buffered) => buffered,
+            Err(_) => {
+                call.finish(CallOutcome::Failed);
+                return Err(SendFailure::Broken("answer broke off"));
+            }
         }
-        let body = ResponseBody::Relayed(Box::new(relay));
-        return Ok(UpstreamResponse::Final(Response::from_parts(head, body)));
-    }
-    match buffer_body(body).await {
-        Ok(BufferedBody::Complete(bytes)) => {
+    };
+    match buffered {
+        BufferedBody::Complete(bytes) if has_events && !framing::is_between_events(&bytes) => {
+            call.finish(CallOutcome::Failed);
+            Err(SendFailure::Broken("answer ended within an event"))
+        }
+        BufferedBody::Complete(bytes) => {
             let now = shared.clock.now();
             call.on_first_event(now);
             let is_failure = head.status.is_server_error();
@@ -575,17 +581,19 @@
                 UpstreamResponse::Final(response)
             })
         }
-        Ok(BufferedBody::Partial(bytes, body)) => {
-            call.on_first_event(shared.clock.now());
+        BufferedBody::Partial(bytes, body) => {
             let attempts = std::mem::take(attempts);
-            let relay = Relay::new(shared, request, attempts, call, body).with_buffered(bytes);
+            let mut relay = Relay::new(shared, request, attempts, call, body);
+            if has_events {
+                // The length is that of this run, which a run at another upstream may continue, and a
+                // caller that has read it can no longer be told that the stream is broken.
+                head.headers.remove(header::CONTENT_LENGTH);
+                relay = relay.with_events();
+            }
+            relay.add_buffered(bytes);
             let body = ResponseBody::Relayed(Box::new(relay));
             Ok(UpstreamResponse::Final(Response::from_parts(head, body)))
         }
-        Err(_) => {
-            call.finish(CallOutcome::Failed);
-            Err(SendFailure::Broken("answer broke off"))
-        }
     }
 }
 
--- a/crates/vanillakeel-entry/src/gateway/framing.rs
+++ b/crates/vanillakeel-entry/src/gateway/framing.rs
@@ -4,6 +4,7 @@
     HeaderMap,
     header, //
 };
+use vanillakeel_http::EventScanner;
 
 /// How an upstream marks the end of a response body.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -39,12 +40,20 @@
     }
 }
 
-/// Returns whether a successful response on a route for streams consists of server-sent events.
+/// Returns whether a successful response consists of server-sent events.
 ///
-/// A response without a content type is taken for what the route announces.
-pub(super) fn has_events(headers: &HeaderMap) -> bool {
-    headers.get(header::CONTENT_TYPE).is_none_or(|value| {
-        let essence = value.as_bytes().split(|b| *b == b';').next();
-        essence.is_some_and(|e| e.trim_ascii().eq_ignore_ascii_case(b"text/event-stream"))
-    })
+/// A response without a content type is taken for what its route is for.
+pub(super) fn has_events(headers: &HeaderMap, is_stream_route: bool) -> bool {
+    let Some(value) = headers.get(header::CONTENT_TYPE) else {
+        return is_stream_route;
+    };
+    let essence = value.as_bytes().split(|b| *b == b';').next();
+    essence.is_some_and(|e| e.trim_ascii().eq_ignore_ascii_case(b"text/event-stream"))
+}
+
+/// Returns whether events that have been received completely end between two events.
+pub(super) fn is_between_events(bytes: &[u8]) -> bool {
+    let mut scanner = EventScanner::default();
+    scanner.scan(bytes);
+    scanner.is_between_events()
 }
--- a/crates/vanillakeel-entry/src/gateway/progress.rs
+++ b/crates/vanillakeel-entry/src/gateway/progress.rs
@@ -21,8 +21,7 @@
     first: Option<Millis>,
     last: Option<Millis>,
     longest_gap_ms: Option<u64>,
-    /// Bytes that were forwarded to the caller, without those that a [`Relay`](super::relay::Relay)
-    /// was given as the buffered beginning of its body.
+    /// Bytes that were forwarded to the caller.
     pub(super) bytes: u64,
 }
 
--- a/crates/vanillakeel-entry/src/gateway/relay.rs
+++ b/crates/vanillakeel-entry/src/gateway/relay.rs
@@ -133,11 +133,8 @@
     }
 
     /// Relays `bytes`, the beginning of the body, before the rest.
-    pub(super) fn with_buffered(self, bytes: Bytes) -> Self {
-        Self {
-            buffered: Some(bytes),
-            ..self
-        }
+    pub(super) fn add_buffered(&mut self, bytes: Bytes) {
+        self.buffered = Some(bytes).filter(|b| !b.is_empty());
     }
 
     /// Keeps `value` until the body is dropped.
@@ -159,8 +156,9 @@
         &mut self,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        if let Some(buffered) = self.buffered.take() {
-            return Poll::Ready(Some(Ok(Frame::data(buffered))));
+        let buffered = self.buffered.take();
+        if let Some(bytes) = buffered.and_then(|bytes| self.on_data(bytes)) {
+            return Poll::Ready(Some(Ok(Frame::data(bytes))));
         }
         if self.deadline.as_mut().poll(cx).is_ready() {
             return Poll::Ready(Some(Err(self.fail("deadline"))));
@@ -181,8 +179,8 @@
             };
             match polled {
                 Polled::Frame(Some(Ok(frame))) => {
-                    if let Some(bytes) = self.on_frame(frame) {
-                        self.progress.bytes += bytes.len() as u64;
+                    let data = frame.into_data().ok();
+                    if let Some(bytes) = data.and_then(|data| self.on_data(data)) {
                         return Poll::Ready(Some(Ok(Frame::data(bytes))));
                     }
                 }
@@ -204,18 +202,19 @@
         }
     }
 
-    /// Processes a frame of the upstream; returns the bytes that can be relayed now.
-    fn on_frame(&mut self, frame: Frame<Bytes>) -> Option<Bytes> {
-        let data = frame.into_data().ok()?;
+    /// Processes bytes of the upstream; returns those that can be relayed now.
+    fn on_data(&mut self, data: Bytes) -> Option<Bytes> {
         let now = self.shared.clock.now();
         self.progress.on_chunk(now);
         if let RelayState::Receiving(receiving) = &mut self.state {
             receiving.0.on_first_event(now);
         }
-        match &mut self.events {
+        let relayed = match &mut self.events {
             None => Some(data),
             Some(events) => events.push(data),
-        }
+        };
+        self.progress.bytes += relayed.as_ref().map_or(0, |b| b.len() as u64);
+        relayed
     }
 
     /// Returns how the body has ended, for the log.
