feat: log the software version of upstreams and which stream a request takes up

Nothing shows which software an upstream runs, nor that a request takes up a stream that another one began.

Now: the version that upstreams state is decoded, also handed on by hubs, and stands in the lines "upstream listed" and "sent"; "sent" also names the request that brought the first event of the stream. No choice depends on it yet.

--- a/crates/vanillakeel-entry/src/gateway/exchange.rs
+++ b/crates/vanillakeel-entry/src/gateway/exchange.rs
@@ -317,6 +317,8 @@
     tracing::info!(
         request = %request.id,
         upstream = %pick.name,
+        software = pick.software.as_deref(),
+        resumes = request.resumes.as_deref(),
         service = %request.service,
         route = %request.route.name,
         rank = request.rank,
--- a/crates/vanillakeel-entry/src/gateway/header_names.rs
+++ b/crates/vanillakeel-entry/src/gateway/header_names.rs
@@ -30,6 +30,9 @@
     pub not_run: HeaderName,
     /// Set by an upstream on each successful answer, to show that the answer is its own.
     pub seal: HeaderName,
+    /// Id of the request that brought the first event of a stream, set by a caller that takes the stream
+    /// up with another request.
+    pub resumes: HeaderName,
     /// Further headers that only the system may set; they are removed from the requests of callers.
     pub reserved: Vec<HeaderName>,
 }
@@ -48,6 +51,7 @@
             cache_source: name("x-cache-source"),
             not_run: name("x-not-run"),
             seal: name("x-seal"),
+            resumes: name("x-resumes"),
             reserved: Vec::new(),
         }
     }
--- a/crates/vanillakeel-entry/src/gateway/mesh_wire.rs
+++ b/crates/vanillakeel-entry/src/gateway/mesh_wire.rs
@@ -75,6 +75,7 @@
         slots: listed.slots,
         leaving: listed.state == State::Leaving,
         gone: change.is_removed,
+        software: listed.software.as_deref().map(str::to_owned),
     }
 }
 
@@ -94,6 +95,7 @@
             data_centre: Arc::from(&*wire.data_centre),
             slots: wire.slots,
             state,
+            software: wire.software.as_deref().map(Arc::from),
         },
         is_removed: wire.gone,
     })
--- a/crates/vanillakeel-entry/src/gateway/request.rs
+++ b/crates/vanillakeel-entry/src/gateway/request.rs
@@ -72,6 +72,8 @@
     pub(super) prompt_tokens: u32,
     /// Rank at the upstream; 0 is the most urgent.
     pub(super) rank: u8,
+    /// Id of the request that brought the first event of the stream, if the caller takes one up.
+    pub(super) resumes: Option<Arc<str>>,
     /// Most connections that this instance may have to one upstream.
     pub(super) max_connections: u32,
 }
@@ -313,6 +315,7 @@
             &names.prompt_segments,
         )),
         prompt_tokens: parse_prompt_tokens(headers::str_value(&head.headers, &names.token_counts)),
+        resumes: headers::str_value(&head.headers, &names.resumes).map(Arc::from),
         version: table.version(),
         route: Rc::clone(route),
         rank,
--- a/crates/vanillakeel-entry/src/gateway/shared.rs
+++ b/crates/vanillakeel-entry/src/gateway/shared.rs
@@ -368,6 +368,7 @@
                 service = %listed.service,
                 incarnation = listed.incarnation,
                 state = ?listed.state,
+                software = listed.software.as_deref(),
                 "upstream listed"
             );
             self.record_change(listed.clone(), false);
--- a/crates/vanillakeel-wire/src/generated.rs
+++ b/crates/vanillakeel-wire/src/generated.rs
@@ -341,6 +341,9 @@
     /// Whether service discovery no longer lists it.
     #[prost(bool, tag = "8")]
     pub gone: bool,
+    /// Version of its software, if known.
+    #[prost(string, optional, tag = "9")]
+    pub software: ::core::option::Option<::prost::alloc::string::String>,
 }
 /// The operation of a claim entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
--- a/crates/vanillakeel/src/fleet/choose.rs
+++ b/crates/vanillakeel/src/fleet/choose.rs
@@ -59,6 +59,7 @@
             name: Arc::clone(&listed.name),
             incarnation: listed.incarnation,
             address: listed.address,
+            software: listed.software.clone(),
             prefill_tokens: self.prefill_tokens,
             cached_tokens: self.cached_tokens,
             fetched_tokens: self.fetched_tokens,
--- a/crates/vanillakeel/src/fleet/request.rs
+++ b/crates/vanillakeel/src/fleet/request.rs
@@ -63,6 +63,8 @@
     pub incarnation: u64,
     /// Address on which it listens.
     pub address: SocketAddr,
+    /// Version of its software, if known.
+    pub software: Option<Arc<str>>,
     /// Prompt tokens that are probably not cached there, nor fetched, and need prefill.
     pub prefill_tokens: u32,
     /// Shared prompt tokens that are probably cached there.
--- a/crates/vanillakeel/src/fleet/state.rs
+++ b/crates/vanillakeel/src/fleet/state.rs
@@ -233,6 +233,7 @@
         let state = known.listed.state.max(listed.state);
         let next = ListedUpstream {
             state,
+            software: listed.software.clone().or(known.listed.software.clone()),
             ..listed.clone()
         };
         if known.listed == next {
--- a/crates/vanillakeel/src/fleet/upstream.rs
+++ b/crates/vanillakeel/src/fleet/upstream.rs
@@ -31,6 +31,8 @@
     pub slots: u32,
     /// Whether it accepts new work.
     pub state: State,
+    /// Version of its software, or `None` while this is not known.
+    pub software: Option<Arc<str>>,
 }
 
 impl Default for ListedUpstream {
@@ -43,6 +45,7 @@
             data_centre: Arc::from(""),
             slots: 1,
             state: State::Live,
+            software: None,
         }
     }
 }
