fix: a stream is resumed within its answer only at the version that began it

Cause: a later attempt took it for granted that all upstreams of a service are alike. The choice after a failure only left out the upstreams that were tried.

Now: once an event has been relayed, only upstreams with the same software version may go on; a retry before any event is free. An upstream whose version is not known can't be continued elsewhere. All that holds for other choices (attempts, budget, draining, ejection, rank) holds for these.

The cases over several requests of a caller still fail.

--- a/crates/vanillakeel-entry/src/gateway/exchange.rs
+++ b/crates/vanillakeel-entry/src/gateway/exchange.rs
@@ -116,6 +116,8 @@
     pub(super) possible_runs: u32,
     refusals: u32,
     failed_connects: u32,
+    /// Version of the software that began the stream, by which it has to go on.
+    pub(super) software: Option<Arc<str>>,
 }
 
 /// Forwards a request to upstreams and returns the response for the caller.
@@ -266,6 +268,7 @@
         rank: request.rank,
         target_ms: request.route.target_ms,
         tried: &attempts.tried,
+        software: attempts.software.as_deref(),
     };
     let pick = shared.fleet.borrow_mut().choose(now, &info);
     let mut pick = pick.ok_or(SendFailure::NoUpstream)?;
--- a/crates/vanillakeel-entry/src/gateway/relay.rs
+++ b/crates/vanillakeel-entry/src/gateway/relay.rs
@@ -21,7 +21,10 @@
     framing::BodyFraming,
     lines,
     progress::Progress,
-    relayed_events::RelayedEvents,
+    relayed_events::{
+        RelayedEvents,
+        ResumePoint, //
+    },
     request::RoutedRequest,
     shared::Shared, //
 };
@@ -320,9 +323,11 @@
 
     /// Handles a failure of the upstream: resumes the stream at another one if that is allowed.
     ///
-    /// The partial event is discarded, since the next upstream sends it again from its start.
+    /// The partial event is discarded, since the next upstream sends it again from its start. Once an
+    /// event has been relayed, only an upstream with the same software may go on.
     fn on_upstream_failure(&mut self, call: Call, reason: &str, error: Option<&hyper::Error>) {
         self.log_cut(Some(&call), reason, error);
+        let software = call.pick.software.clone();
         call.finish(CallOutcome::Failed);
         self.state = RelayState::Broken;
         let Some(events) = &mut self.events else {
@@ -335,6 +340,12 @@
         let Some(mut attempts) = self.attempts.take() else {
             return;
         };
+        if resume_point != ResumePoint::Start {
+            if software.is_none() {
+                return;
+            }
+            attempts.software = software;
+        }
         let allows_retry = attempts.possible_runs < self.request.route.max_attempts
             && self.shared.take_retry(&self.request.service);
         if !allows_retry {
--- a/crates/vanillakeel/src/fleet/groups.rs
+++ b/crates/vanillakeel/src/fleet/groups.rs
@@ -31,7 +31,8 @@
     pub(super) fn eligible_group(&self, now: Millis, request: &RequestInfo<'_>) -> Vec<&Upstream> {
         let usable = |u: &&Upstream| {
             let has_room = u.load.total_calls() < u.health.max_in_flight(now);
-            u.is_live() && has_room && !request.tried.contains(&u.listed.name)
+            let is_untried = !request.tried.contains(&u.listed.name);
+            u.is_live() && has_room && is_untried && request.allows(u.listed.software.as_deref())
         };
         let all: Vec<_> = self
             .of_service(request.service)
--- a/crates/vanillakeel/src/fleet/request.rs
+++ b/crates/vanillakeel/src/fleet/request.rs
@@ -30,6 +30,9 @@
     pub target_ms: u64,
     /// Names of the upstreams that were already tried.
     pub tried: &'a [Arc<str>],
+    /// Version of the software that an upstream has to run, if the request continues a stream: what two
+    /// versions write does not fit together.
+    pub software: Option<&'a str>,
 }
 
 impl RequestInfo<'_> {
@@ -43,6 +46,11 @@
         self.shared().iter().map(|s| s.tokens).sum()
     }
 
+    /// Returns whether an upstream that runs `software` may run the request.
+    pub(super) fn allows(&self, software: Option<&str>) -> bool {
+        self.software.is_none() || self.software == software
+    }
+
     pub(super) fn rank_index(&self) -> usize {
         usize::from(self.rank).min(RANK_COUNT - 1)
     }
