fix: a stream that a caller takes up goes on at the version that began it

Cause: what binds a stream is its first event, and that is known only to the instance that relayed it. The caller names the request that brought this event, and may take the stream up at any instance, also after the first one has ended.

Now: before an instance relays the first event of a resumable stream, it tells the version to a few others, which follow from the stream and the names of the instances: two in its data centre, one each in two others. Whoever does not know a stream asks them, one more of each, up to three times within 150 ms. If the version is not known, or no upstream of it is left, the request is refused at once as not run; a caller who reached an instance that no keeper answers is sent to another one. A stream is known for twice the timeout of the longest resumable route. If all upstreams of the version are ejected, the stream goes to one of them.

Ways weighed: a version that follows from the stream's id (spreads prompts away from their cached prefixes, and changes with the set of versions that each instance sees), a record on the log (a call for each stream, none during outages), telling all instances (2,500 streams a second at 370 of them).

--- a/crates/vanillakeel-entry/src/gateway.rs
+++ b/crates/vanillakeel-entry/src/gateway.rs
@@ -42,6 +42,7 @@
 mod shared;
 mod sockets;
 mod stop;
+mod streams;
 mod watch;
 
 pub use self::{
--- a/crates/vanillakeel-entry/src/gateway/answer.rs
+++ b/crates/vanillakeel-entry/src/gateway/answer.rs
@@ -93,6 +93,10 @@
     TooLate,
     /// the instance is stopping
     Stopping,
+    /// the version that began the stream is not known
+    UnknownStream(Option<u64>),
+    /// no upstream of the version that began the stream is left
+    VersionGone,
     /// an upstream failed after the request was sent
     Broken,
     /// the time was over after the request was sent
@@ -116,6 +120,8 @@
             Self::Overload(_) => "overload",
             Self::TooLate => "too_late",
             Self::Stopping => "stopping",
+            Self::UnknownStream(_) => "unknown_stream",
+            Self::VersionGone => "version_gone",
             Self::Broken => "broken",
             Self::TimedOut => "timed_out",
         }
@@ -135,7 +141,9 @@
             | Self::Full
             | Self::Overload(_)
             | Self::TooLate
-            | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::Stopping
+            | Self::UnknownStream(_)
+            | Self::VersionGone => StatusCode::SERVICE_UNAVAILABLE,
             Self::Broken => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -156,6 +164,7 @@
             Self::Full => Some(100),
             Self::Overload(ms) | Self::Stale(ms) => Some(ms),
             Self::Stopping => Some(0),
+            Self::UnknownStream(ms) => ms,
             _ => None,
         }
     }
--- a/crates/vanillakeel-entry/src/gateway/exchange.rs
+++ b/crates/vanillakeel-entry/src/gateway/exchange.rs
@@ -135,7 +135,10 @@
     if remaining_ms < MIN_REMAINING_MS {
         return Err(Refusal::TooLate);
     }
-    let mut attempts = Attempts::default();
+    let mut attempts = Attempts {
+        software: request.software.clone(),
+        ..Attempts::default()
+    };
     let limit = Duration::from_millis(remaining_ms);
     let result = timeout(limit, try_upstreams(shared, &request, &mut attempts)).await;
     match result {
@@ -452,7 +455,7 @@
         headers.insert(names.cache_source.clone(), value);
     }
     if let ResumePoint::After(id) = resume_point {
-        headers.insert("last-event-id", id.clone());
+        headers.insert(headers::LAST_EVENT_ID, id.clone());
     }
     req
 }
--- a/crates/vanillakeel-entry/src/gateway/headers.rs
+++ b/crates/vanillakeel-entry/src/gateway/headers.rs
@@ -7,6 +7,9 @@
     header, //
 };
 
+/// Header with the id of the event after which a stream is continued.
+pub(super) const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
+
 /// Hop-by-hop headers, which apply to a single connection and are not forwarded.
 const HOP_BY_HOP: [HeaderName; 9] = [
     header::CONNECTION,
--- a/crates/vanillakeel-entry/src/gateway/metrics.rs
+++ b/crates/vanillakeel-entry/src/gateway/metrics.rs
@@ -43,6 +43,12 @@
     rank: u8,
 }
 
+/// Labels of the counter of streams that callers take up.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct KnownByLabels {
+    known_by: &'static str,
+}
+
 /// One histogram of times per rank.
 type RankHistograms = Family<RankLabels, Histogram, fn() -> Histogram>;
 
@@ -56,6 +62,7 @@
     registry: Registry,
     refusals: Family<RefusalLabels, Counter>,
     answers: Family<StatusLabels, Counter>,
+    taken_up_streams: Family<KnownByLabels, Counter>,
     time_to_first_event: RankHistograms,
     longest_gap: RankHistograms,
     answer_time: RankHistograms,
@@ -71,6 +78,7 @@
     pub(super) upstreams: Gauge,
     pub(super) peers: Gauge,
     pub(super) covered: Gauge,
+    pub(super) known_streams: Gauge,
 }
 
 impl Default for Metrics {
@@ -79,6 +87,7 @@
             registry: Registry::with_prefix("vanillakeel"),
             refusals: Family::default(),
             answers: Family::default(),
+            taken_up_streams: Family::default(),
             time_to_first_event: rank_histograms(),
             longest_gap: rank_histograms(),
             answer_time: rank_histograms(),
@@ -94,6 +103,7 @@
             upstreams: Gauge::default(),
             peers: Gauge::default(),
             covered: Gauge::default(),
+            known_streams: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -110,6 +120,11 @@
             self.refusals.clone(),
         );
         registry.register("answers", "Answers of upstreams", self.answers.clone());
+        registry.register(
+            "taken_up_streams",
+            "Streams that callers took up with another request, by how their version was known",
+            self.taken_up_streams.clone(),
+        );
         registry.register(
             "first_event_seconds",
             "Time to the first event of an answer, by rank",
@@ -177,6 +192,11 @@
             "Whether a hub reads the log for this instance",
             self.covered.clone(),
         );
+        registry.register(
+            "known_streams",
+            "Streams whose software version this instance knows",
+            self.known_streams.clone(),
+        );
     }
 
     /// Counts a request that the instance itself has answered.
@@ -189,6 +209,13 @@
             .inc();
     }
 
+    /// Counts a stream that a caller takes up with another request.
+    pub(super) fn on_taken_up(&self, known_by: &'static str) {
+        self.taken_up_streams
+            .get_or_create(&KnownByLabels { known_by })
+            .inc();
+    }
+
     /// Counts the answer of an upstream to a request of `rank` and records its times.
     pub(super) fn on_answer(&self, rank: u8, status: StatusCode, times: &AnswerTimes) {
         let status = status.as_u16();
--- a/crates/vanillakeel-entry/src/gateway/peers.rs
+++ b/crates/vanillakeel-entry/src/gateway/peers.rs
@@ -18,6 +18,7 @@
         loads_to_wire, //
     },
     shared::Shared,
+    streams, //
 };
 use bytes::Bytes;
 use std::{
@@ -192,6 +193,9 @@
     let mesh = shared.mesh.borrow();
     let peers = i64::try_from(mesh.len()).unwrap_or(i64::MAX);
     shared.metrics.peers.set(peers);
+    let known_streams = shared.begun_streams.borrow().len();
+    let known_streams = i64::try_from(known_streams).unwrap_or(i64::MAX);
+    shared.metrics.known_streams.set(known_streams);
     shared.metrics.covered.set(i64::from(mesh.is_covered(now)));
 }
 
@@ -240,21 +244,37 @@
     peer: &Peer,
     kind: impl Into<Option<Kind>>,
 ) {
-    let message = {
-        let mesh = shared.mesh.borrow();
-        MeshMessage {
-            from: mesh.me().name.to_string(),
-            data_centre: mesh.me().data_centre.to_string(),
-            link_mbps: mesh.me().link_mbps,
-            kind: kind.into(),
-        }
-    };
-    let sent = socket.send_to(&message.encode_to_vec(), peer.address).await;
+    let message = encode_message(shared, kind.into());
+    let sent = socket.send_to(&message, peer.address).await;
     if let Err(e) = sent {
         tracing::debug!(peer = %peer.name, error = %e, "datagram could not be sent");
     }
 }
 
+/// Sends a message to a peer now; it is lost if the socket can't take it, as a datagram may be.
+pub(super) fn try_send(shared: &Shared, peer: &Peer, kind: Kind) {
+    let socket = shared.mesh_socket.borrow();
+    let Some(socket) = &*socket else {
+        return;
+    };
+    let message = encode_message(shared, kind.into());
+    if let Err(e) = socket.try_send_to(&message, peer.address) {
+        tracing::debug!(peer = %peer.name, error = %e, "datagram could not be sent");
+    }
+}
+
+/// Encodes a message of this instance.
+fn encode_message(shared: &Shared, kind: Option<Kind>) -> Vec<u8> {
+    let mesh = shared.mesh.borrow();
+    let message = MeshMessage {
+        from: mesh.me().name.to_string(),
+        data_centre: mesh.me().data_centre.to_string(),
+        link_mbps: mesh.me().link_mbps,
+        kind,
+    };
+    message.encode_to_vec()
+}
+
 /// Receives datagrams for as long as the process runs.
 async fn receive_datagrams(shared: &Shared, socket: &UdpSocket) {
     let mut buf = vec![0; MAX_DATAGRAM_BYTES];
@@ -316,6 +336,12 @@
             mesh.on_exchange(now, name, &message.data_centre, loads, exchange.instances);
         }
         Some(Kind::Summary(summary)) => on_summary(shared, now, name, &summary),
+        Some(Kind::Streams(told)) => streams::on_told(shared, &told),
+        Some(Kind::StreamQuery(query)) => {
+            let answer = streams::answer(shared, &query);
+            send_message(shared, socket, &peer, Kind::StreamAnswer(answer)).await;
+        }
+        Some(Kind::StreamAnswer(answer)) => streams::on_answer(shared, name, &answer),
         Some(Kind::Leaving(_)) | None => {}
     }
 }
--- a/crates/vanillakeel-entry/src/gateway/relay.rs
+++ b/crates/vanillakeel-entry/src/gateway/relay.rs
@@ -26,7 +26,8 @@
         ResumePoint, //
     },
     request::RoutedRequest,
-    shared::Shared, //
+    shared::Shared,
+    streams, //
 };
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
@@ -93,6 +94,8 @@
     deadline: Pin<Box<Sleep>>,
     /// Events of a stream; `None` for any other body.
     events: Option<RelayedEvents>,
+    /// Whether the keepers of a resumable stream have been told that it has begun.
+    is_told: bool,
     /// Bytes that were read earlier and come first.
     buffered: Option<Bytes>,
     progress: Progress,
@@ -119,6 +122,7 @@
             state: RelayState::Receiving(Box::new((call, body))),
             deadline: Box::pin(sleep(remaining)),
             events: None,
+            is_told: false,
             buffered: None,
             progress: Progress::default(),
             held_until_end: None,
@@ -217,9 +221,27 @@
             Some(events) => events.push(data),
         };
         self.progress.bytes += relayed.as_ref().map_or(0, |b| b.len() as u64);
+        self.tell_of_first_event();
         relayed
     }
 
+    /// Tells other instances by which version a resumable stream began, once its first event is complete.
+    fn tell_of_first_event(&mut self) {
+        let has_begun = self
+            .events
+            .as_ref()
+            .is_some_and(RelayedEvents::has_begun_resumable);
+        if self.is_told || !has_begun {
+            return;
+        }
+        self.is_told = true;
+        if let RelayState::Receiving(receiving) = &self.state
+            && let Some(software) = &receiving.0.pick.software
+        {
+            streams::on_first_event(&self.shared, self.request.stream(), software);
+        }
+    }
+
     /// Returns how the body has ended, for the log.
     fn ending(&self, call: &Call) -> Ending {
         Ending {
--- a/crates/vanillakeel-entry/src/gateway/relayed_events.rs
+++ b/crates/vanillakeel-entry/src/gateway/relayed_events.rs
@@ -88,6 +88,11 @@
         }
     }
 
+    /// Returns whether the stream can be resumed and an event of it has been relayed.
+    pub(super) const fn has_begun_resumable(&self) -> bool {
+        self.is_resumable && self.scanner.has_events()
+    }
+
     /// Returns whether the stream is between two events.
     pub(super) const fn is_between_events(&self) -> bool {
         self.scanner.is_between_events()
--- a/crates/vanillakeel-entry/src/gateway/request.rs
+++ b/crates/vanillakeel-entry/src/gateway/request.rs
@@ -9,10 +9,13 @@
         Refusal,
         ResponseBody, //
     },
-    exchange,
-    headers,
+    exchange, headers,
     lines::Kind,
-    shared::Shared, //
+    shared::Shared,
+    streams::{
+        self,
+        Continued, //
+    },
 };
 use bytes::Bytes;
 use http::{
@@ -44,9 +47,11 @@
     order,
     routes::{
         Route,
+        RouteKind,
         Table,
         Workspace, //
     },
+    streams::StreamId,
 };
 
 /// Largest number of prompt segments that are parsed; further ones are not worth the time.
@@ -72,13 +77,25 @@
     pub(super) prompt_tokens: u32,
     /// Rank at the upstream; 0 is the most urgent.
     pub(super) rank: u8,
-    /// Id of the request that brought the first event of the stream, if the caller takes one up.
+    /// Id of the request that brought the first event of the stream, if the caller names one.
     pub(super) resumes: Option<Arc<str>>,
+    /// Stream that the request continues.
+    pub(super) continues: Option<Continued>,
+    /// Version of the software at which that stream has to go on.
+    pub(super) software: Option<Arc<str>>,
     /// Most connections that this instance may have to one upstream.
     pub(super) max_connections: u32,
 }
 
 impl RoutedRequest {
+    /// Returns the stream to which the events of the answer belong.
+    pub(super) fn stream(&self) -> StreamId {
+        match self.continues {
+            Some(Continued::Stream(stream)) => stream,
+            _ => StreamId::of(&self.id),
+        }
+    }
+
     /// Returns the time to the deadline, in ms.
     pub(super) const fn remaining_ms(&self, now: Millis) -> u64 {
         self.deadline.since(now)
@@ -229,9 +246,10 @@
     // The body may have taken long to arrive, so the table in force now is used, not that of the
     // arrival.
     let table = shared.usable_table().await?;
-    let request = route_request(shared, &table, arrived, parts, body)?;
+    let mut request = route_request(shared, &table, arrived, parts, body)?;
     *routed_by = Some(request.version);
     shared.on_request(&request.service);
+    request.software = streams::software_of(shared, &request).await?;
     exchange::forward(shared, request).await
 }
 
@@ -304,6 +322,12 @@
     if let Some(workspace) = workspace {
         set(&names.workspace, &workspace.name);
     }
+    let resumes = headers::str_value(&head.headers, &names.resumes);
+    let continues = if route.kind == (RouteKind::Stream { resumable: true }) {
+        continued_stream(&head.headers, resumes)
+    } else {
+        None
+    };
     let rank = table.rank(workspace, route);
     set(&names.priority, &rank.to_string());
     let max_connections = table.service(service).map_or(1, |s| s.max_connections);
@@ -315,7 +339,9 @@
             &names.prompt_segments,
         )),
         prompt_tokens: parse_prompt_tokens(headers::str_value(&head.headers, &names.token_counts)),
-        resumes: headers::str_value(&head.headers, &names.resumes).map(Arc::from),
+        resumes: resumes.map(Arc::from),
+        continues,
+        software: None,
         version: table.version(),
         route: Rc::clone(route),
         rank,
@@ -331,6 +357,13 @@
     })
 }
 
+/// Returns the stream that a request continues, whose first request is `resumes`.
+fn continued_stream(headers: &HeaderMap, resumes: Option<&str>) -> Option<Continued> {
+    let named = resumes.map(|id| Continued::Stream(StreamId::of(id.trim())));
+    let is_continued = headers.contains_key(&headers::LAST_EVENT_ID);
+    named.or(is_continued.then_some(Continued::Unnamed))
+}
+
 /// Result of the check of a request's key.
 enum Access<'a> {
     /// No key is required.
--- a/crates/vanillakeel-entry/src/gateway/run.rs
+++ b/crates/vanillakeel-entry/src/gateway/run.rs
@@ -119,6 +119,7 @@
     };
     let socket = socket.map(Rc::new);
     let shared = Shared::new(settings, header_names);
+    shared.mesh_socket.replace(socket.clone());
     spawn_local(operators::serve(Rc::clone(&shared), operators));
     spawn_local(watch::follow_configuration(Rc::clone(&shared), log.clone()));
     spawn_local(watch::follow_upstreams(Rc::clone(&shared), log.clone()));
--- a/crates/vanillakeel-entry/src/gateway/shared.rs
+++ b/crates/vanillakeel-entry/src/gateway/shared.rs
@@ -13,7 +13,8 @@
     },
     metrics::Metrics,
     settings::Settings,
-    sockets::ConnectionPool, //
+    sockets::ConnectionPool,
+    streams::PendingLookup, //
 };
 use crate::{
     Clock,
@@ -29,6 +30,7 @@
     time::Duration,
 };
 use tokio::{
+    net::UdpSocket,
     sync::Notify,
     time::timeout, //
 };
@@ -57,6 +59,10 @@
         Standing,
         Table, //
     },
+    streams::{
+        self,
+        BegunStreams, //
+    },
 };
 
 /// Margin that is subtracted from the time for which keys are accepted without a confirmation, in ms.
@@ -112,6 +118,12 @@
     line_limiter: LineLimiter,
     pub(super) mesh: RefCell<Mesh>,
     pub(super) report_ids: ReportIds,
+    /// Socket for peers, if there is one.
+    pub(super) mesh_socket: RefCell<Option<Rc<UdpSocket>>>,
+    /// Streams whose software version is known here.
+    pub(super) begun_streams: RefCell<BegunStreams>,
+    /// Streams whose keepers have been asked.
+    pub(super) stream_lookups: RefCell<Vec<Rc<PendingLookup>>>,
     /// Recent changes of upstreams, for members for which this instance reads the log.
     pub(super) recent_changes: RefCell<Vec<(Millis, UpstreamChange)>>,
     /// Time at which the last complete read of the upstreams was sent to the log.
@@ -168,6 +180,9 @@
             line_limiter: LineLimiter::default(),
             mesh: RefCell::new(Mesh::new(me, mesh::Settings::default())),
             report_ids: ReportIds::new(wall_ms()),
+            mesh_socket: RefCell::default(),
+            begun_streams: RefCell::new(BegunStreams::new(streams::Settings::default())),
+            stream_lookups: RefCell::default(),
             recent_changes: RefCell::default(),
             upstreams_read_at: Cell::new(None),
             hub_differs_since: Cell::new(None),
@@ -245,6 +260,15 @@
         }
     }
 
+    /// Applies the life of streams that the configuration in force allows.
+    pub(super) fn on_stream_life_changed(&self) {
+        let in_force = self.in_force.borrow();
+        if let Some(table) = in_force.table() {
+            let mut begun = self.begun_streams.borrow_mut();
+            begun.set_remembered(table.stream_life_ms());
+        }
+    }
+
     /// Returns the latest known era of the log, or 0 before the first answer.
     pub(super) fn log_era(&self) -> u64 {
         self.log_era.get().unwrap_or(0)
--- a/crates/vanillakeel-entry/src/gateway/watch/configuration.rs
+++ b/crates/vanillakeel-entry/src/gateway/watch/configuration.rs
@@ -190,6 +190,7 @@
                     let announced = shared.in_force.borrow().announced();
                     let announced = announced.filter(|(v, _)| *v <= version);
                     shared.metrics.version.set(version.cast_signed());
+                    shared.on_stream_life_changed();
                     tracing::info!(
                         version,
                         previous,
--- a/crates/vanillakeel-http/src/event_scanner.rs
+++ b/crates/vanillakeel-http/src/event_scanner.rs
@@ -85,6 +85,12 @@
         self.last_event_id.as_deref()
     }
 
+    /// Returns whether an event with data or an id is complete.
+    #[must_use]
+    pub const fn has_events(&self) -> bool {
+        self.last_event_id.is_some() || self.has_events_after_id
+    }
+
     /// Returns whether no event with data has followed the last one with an id, so that a stream that
     /// continues after this id neither repeats an event nor leaves one out.
     #[must_use]
--- a/crates/vanillakeel-wire/src/generated.rs
+++ b/crates/vanillakeel-wire/src/generated.rs
@@ -209,7 +209,7 @@
     /// Bandwidth of the sender's link in Mbit/s, zero if unknown.
     #[prost(uint32, tag = "7")]
     pub link_mbps: u32,
-    #[prost(oneof = "mesh_message::Kind", tags = "3, 4, 5, 6")]
+    #[prost(oneof = "mesh_message::Kind", tags = "3, 4, 5, 6, 8, 9, 10")]
     pub kind: ::core::option::Option<mesh_message::Kind>,
 }
 /// Nested message and enum types in `MeshMessage`.
@@ -225,6 +225,12 @@
         /// The sender is stopping.
         #[prost(bool, tag = "6")]
         Leaving(bool),
+        #[prost(message, tag = "8")]
+        Streams(super::MeshStreams),
+        #[prost(message, tag = "9")]
+        StreamQuery(super::MeshStreamQuery),
+        #[prost(message, tag = "10")]
+        StreamAnswer(super::MeshStreamAnswer),
     }
 }
 /// Load that an instance or a data centre puts on upstreams; lists of equal length, in ascending
@@ -321,6 +327,31 @@
     #[prost(uint64, tag = "4")]
     pub version: u64,
 }
+/// Streams that have begun, for the instances that keep them; lists of equal length.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct MeshStreams {
+    /// Hashes of the ids of the requests that brought their first events.
+    #[prost(fixed64, repeated, tag = "1")]
+    pub streams: ::prost::alloc::vec::Vec<u64>,
+    /// Versions of the upstreams' software.
+    #[prost(string, repeated, tag = "2")]
+    pub software: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+}
+/// A question for the software version that began a stream.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct MeshStreamQuery {
+    #[prost(fixed64, tag = "1")]
+    pub stream: u64,
+}
+/// The answer to the question.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct MeshStreamAnswer {
+    #[prost(fixed64, tag = "1")]
+    pub stream: u64,
+    /// Missing if the stream is not known.
+    #[prost(string, optional, tag = "2")]
+    pub software: ::core::option::Option<::prost::alloc::string::String>,
+}
 /// An upstream as service discovery lists it.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct MeshUpstream {
--- a/crates/vanillakeel/src/fleet/groups.rs
+++ b/crates/vanillakeel/src/fleet/groups.rs
@@ -27,12 +27,22 @@
 
     /// Returns the upstreams that may take this request: the usable ones of its group.
     ///
-    /// If no upstream of the own group is usable, those of the other group are returned.
+    /// If no upstream of the own group is usable, those of the other group are returned. A request that
+    /// continues a stream can only go to upstreams with the same software; if none of these is usable,
+    /// ejected ones are returned.
     pub(super) fn eligible_group(&self, now: Millis, request: &RequestInfo<'_>) -> Vec<&Upstream> {
+        let group = self.usable_group(now, request);
+        if group.is_empty() && request.software.is_some() {
+            let of_service = self.of_service(request.service);
+            return of_service.filter(|u| u.may_run(request)).collect();
+        }
+        group
+    }
+
+    fn usable_group(&self, now: Millis, request: &RequestInfo<'_>) -> Vec<&Upstream> {
         let usable = |u: &&Upstream| {
             let has_room = u.load.total_calls() < u.health.max_in_flight(now);
-            let is_untried = !request.tried.contains(&u.listed.name);
-            u.is_live() && has_room && is_untried && request.allows(u.listed.software.as_deref())
+            has_room && u.may_run(request)
         };
         let all: Vec<_> = self
             .of_service(request.service)
--- a/crates/vanillakeel/src/fleet/state.rs
+++ b/crates/vanillakeel/src/fleet/state.rs
@@ -318,6 +318,13 @@
         })
     }
 
+    /// Returns whether an upstream of a service accepts new work and runs a version of the software.
+    #[must_use]
+    pub fn serves_software(&self, service: &str, software: &str) -> bool {
+        self.of_service(service)
+            .any(|u| u.is_live() && u.listed.software.as_deref() == Some(software))
+    }
+
     /// Returns the short-prompt calls in flight, extrapolated to instances that do not report.
     pub(super) fn total_short_prompt_calls(&self) -> f64 {
         f64::from(self.short_prompt_calls + self.remote_short_prompt_calls)
--- a/crates/vanillakeel/src/fleet/upstream.rs
+++ b/crates/vanillakeel/src/fleet/upstream.rs
@@ -1,6 +1,9 @@
 //! The state of one upstream at an instance.
 
-use super::cached::CachedSegments;
+use super::{
+    cached::CachedSegments,
+    request::RequestInfo, //
+};
 use crate::{
     membership::State,
     order,
@@ -149,4 +152,11 @@
     pub(super) fn is_live(&self) -> bool {
         self.listed.state == State::Live
     }
+
+    /// Returns whether the upstream accepts new work, has not been tried and runs software that may
+    /// run the request.
+    pub(super) fn may_run(&self, request: &RequestInfo<'_>) -> bool {
+        let is_untried = !request.tried.contains(&self.listed.name);
+        self.is_live() && is_untried && request.allows(self.listed.software.as_deref())
+    }
 }
--- a/crates/vanillakeel/src/lib.rs
+++ b/crates/vanillakeel/src/lib.rs
@@ -12,6 +12,7 @@
 //!
 //! - [`routes`] holds its configuration: routes, services and keys.
 //! - [`fleet`] tracks the upstreams that discovery lists and chooses one for each request.
+//! - [`streams`] knows which software version began a stream that a caller takes up again.
 //! - [`mesh`] exchanges load, and what was read from the log, between instances.
 //!
 //! The `vanillakeel-entry` daemon serves requests by class and priority:
@@ -54,6 +55,7 @@
 pub mod routes;
 pub mod routing;
 pub mod share;
+pub mod streams;
 pub mod subset;
 pub mod verdict;
 
--- a/crates/vanillakeel/src/mesh.rs
+++ b/crates/vanillakeel/src/mesh.rs
@@ -20,6 +20,7 @@
 //! assert!(mesh.hub(Millis::ZERO).is_none());
 //! ```
 
+mod keepers;
 mod loads;
 mod report_ids;
 mod state;
--- a/crates/vanillakeel/src/mesh/state.rs
+++ b/crates/vanillakeel/src/mesh/state.rs
@@ -180,6 +180,11 @@
         }
     }
 
+    /// Returns all known peers in ascending order of name.
+    pub fn peers(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.iter().map(|k| &k.peer)
+    }
+
     /// Returns the number of known peers.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/vanillakeel/src/order.rs
+++ b/crates/vanillakeel/src/order.rs
@@ -30,7 +30,13 @@
 /// Returns the rendezvous weight of `name` for `key`.
 #[must_use]
 pub fn weight(key: &str, name: &str) -> u64 {
-    xxh3_64_with_seed(name.as_bytes(), hash(key))
+    weight_for(hash(key), name)
+}
+
+/// Returns the rendezvous weight of `name` for a key that is a hash already.
+#[must_use]
+pub fn weight_for(key: u64, name: &str) -> u64 {
+    xxh3_64_with_seed(name.as_bytes(), key)
 }
 
 /// Returns the name with the highest weight for `key`.
--- a/crates/vanillakeel/src/routes.rs
+++ b/crates/vanillakeel/src/routes.rs
@@ -102,6 +102,17 @@
         self.version
     }
 
+    /// Returns the longest time from the first event of a stream to a request that takes it up, in ms.
+    ///
+    /// A caller that takes a stream up at the end of its route's timeout may wait as long once more.
+    #[must_use]
+    pub fn stream_life_ms(&self) -> u64 {
+        let resumable = RouteKind::Stream { resumable: true };
+        let routes = self.routes.iter().filter(|r| r.kind == resumable);
+        let longest_ms = routes.map(|r| r.timeout_ms).max();
+        longest_ms.unwrap_or(0).saturating_mul(2)
+    }
+
     /// Returns the limits on what callers send.
     #[must_use]
     pub const fn limits(&self) -> &Limits {
--- /dev/null
+++ b/crates/vanillakeel/src/streams.rs
@@ -0,0 +1,53 @@
+//! The software version that began a stream, for callers that take it up with another request.
+//!
+//! A stream may only go on at the software version that began it. The caller names the request that
+//! brought the first event, and may do so at any instance, also after the first one has ended. The
+//! instance that relays the first event therefore tells a few others, the *keepers* of the stream,
+//! before the caller gets it ([`Mesh::keepers`](crate::mesh::Mesh::keepers)). An instance that does not
+//! know a stream asks them.
+//!
+//! ```
+//! use vanillakeel::{Millis, streams::{BegunStreams, Settings, StreamId}};
+//!
+//! let mut begun = BegunStreams::new(Settings::default());
+//! let stream = StreamId::of("request-1");
+//! begun.record(Millis::ZERO, stream, "v2");
+//! assert_eq!(begun.software(Millis::new(500), stream).as_deref(), Some("v2"));
+//! ```
+
+mod begun;
+mod lookup;
+
+pub use self::{
+    begun::{
+        BegunStreams,
+        Settings, //
+    },
+    lookup::Lookup,
+};
+
+use crate::order;
+
+/// Identifies a stream by the request that brought its first event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct StreamId(u64);
+
+impl StreamId {
+    /// Returns the id of the stream that a request began.
+    #[must_use]
+    pub fn of(request: &str) -> Self {
+        Self(order::hash(request))
+    }
+
+    /// Creates an id from its number in a message.
+    #[must_use]
+    pub const fn new(number: u64) -> Self {
+        Self(number)
+    }
+
+    /// Returns the number that stands for the stream in messages.
+    #[must_use]
+    pub const fn get(self) -> u64 {
+        self.0
+    }
+}
--- a/crates/vanillakeel/tests/bound_streams.rs
+++ b/crates/vanillakeel/tests/bound_streams.rs
@@ -7,6 +7,7 @@
 use vanillakeel::{
     Millis,
     fleet::{
+        CallOutcome,
         Fleet,
         ListedUpstream,
         RequestInfo, //
@@ -56,6 +57,24 @@
     assert_eq!(chosen(&mut fleet, software), expected);
 }
 
+/// A stream goes on at an ejected upstream if no other one of its version is left.
+///
+/// Guards against streams that are refused although an upstream of their version may serve them.
+#[test]
+fn ejected_version() {
+    let mut fleet = fleet_of(&[Some("v1"), Some("v2")]);
+    let request = fleets::ranked_request(&[], 0, 0);
+    let continued = RequestInfo {
+        software: Some("v1"),
+        ..request
+    };
+    let pick = fleet.choose(NOW, &continued).expect("an upstream");
+    let call = fleet.on_send(NOW, &pick, &continued);
+    fleet.on_end(NOW, call, CallOutcome::ConnectFailed);
+    assert_eq!(chosen(&mut fleet, None), ["runner-1"]);
+    assert_eq!(chosen(&mut fleet, Some("v1")), ["runner-0"]);
+}
+
 /// A record without the version, of a peer that does not know it, leaves the known one as it is.
 ///
 /// Guards against a version that is forgotten beside instances of an older build.
--- a/crates/vanillakeel/tests/passed_routes.rs
+++ b/crates/vanillakeel/tests/passed_routes.rs
@@ -7,6 +7,7 @@
         Freshness,
         InForce,
         Route,
+        RouteKind,
         Table,
         TableSpec,
         WeightedService,
@@ -120,3 +121,25 @@
     assert_eq!(in_force.may_use_keys(now), keys);
     assert_eq!(in_force.may_deny(now), denial);
 }
+
+/// The life of streams follows from the resumable routes alone.
+///
+/// Guards against streams that are forgotten before their callers take them up.
+#[test]
+fn stream_life() {
+    let of = |kind, timeout_ms| Route {
+        kind,
+        timeout_ms,
+        ..route("a.example", "/x/")
+    };
+    let table = Table::new(TableSpec {
+        routes: vec![
+            of(RouteKind::Stream { resumable: true }, 3_000),
+            of(RouteKind::Stream { resumable: true }, 8_000),
+            of(RouteKind::Stream { resumable: false }, 15_000),
+            of(RouteKind::Safe, 20_000),
+        ],
+        ..TableSpec::default()
+    });
+    assert_eq!(table.stream_life_ms(), 16_000);
+}
