fix: a stream that nobody knows goes on where only one version can have begun it

Cause: with the change before, a stream that no keeper knows is refused: one that an instance of an older build began, one whose keepers have all ended, one whose caller does not name it.

Now: each instance follows which versions have served. If this was only one for as long as streams go on, and a read of the list that is sent after the arrival of the request shows no other one, the stream goes on there. An instance that has not run for so long takes the word of a keeper that has. A gap of more than 3 s in the view of the list starts the time anew.

Ruled out while writing it: a read in the same millisecond as the arrival. The test failed once in four runs, as such a read may have been sent before the second version was listed; only later reads count.

--- a/crates/vanillakeel-entry/src/gateway/shared.rs
+++ b/crates/vanillakeel-entry/src/gateway/shared.rs
@@ -61,7 +61,8 @@
     },
     streams::{
         self,
-        BegunStreams, //
+        BegunStreams,
+        ServedVersions, //
     },
 };
 
@@ -82,6 +83,9 @@
 /// back is old.
 const REMOVAL_REMEMBERED_MS: u64 = 60_000;
 
+/// Time for which software versions that have served are remembered, in ms: longer than a stream lives.
+const VERSION_REMEMBERED_MS: u64 = 600_000;
+
 /// Time for which a hub repeats the change of an upstream to its members, in ms.
 ///
 /// The repetition makes up for lost datagrams.
@@ -122,6 +126,12 @@
     pub(super) mesh_socket: RefCell<Option<Rc<UdpSocket>>>,
     /// Streams whose software version is known here.
     pub(super) begun_streams: RefCell<BegunStreams>,
+    /// Software versions that have served lately.
+    pub(super) served_versions: RefCell<ServedVersions>,
+    /// Wakes the task that reads the upstreams.
+    pub(super) read_upstreams: Notify,
+    /// Wakes tasks that wait for a read of the upstreams.
+    pub(super) upstreams_read: Notify,
     /// Streams whose keepers have been asked.
     pub(super) stream_lookups: RefCell<Vec<Rc<PendingLookup>>>,
     /// Recent changes of upstreams, for members for which this instance reads the log.
@@ -182,6 +192,9 @@
             report_ids: ReportIds::new(wall_ms()),
             mesh_socket: RefCell::default(),
             begun_streams: RefCell::new(BegunStreams::new(streams::Settings::default())),
+            served_versions: RefCell::default(),
+            read_upstreams: Notify::new(),
+            upstreams_read: Notify::new(),
             stream_lookups: RefCell::default(),
             recent_changes: RefCell::default(),
             upstreams_read_at: Cell::new(None),
@@ -260,15 +273,37 @@
         }
     }
 
+    /// Returns the longest time from the first event of a stream to a request that takes it up, by the
+    /// configuration in force, in ms.
+    pub(super) fn stream_life_ms(&self) -> Option<u64> {
+        let in_force = self.in_force.borrow();
+        in_force.table().map(|t| t.stream_life_ms())
+    }
+
     /// Applies the life of streams that the configuration in force allows.
     pub(super) fn on_stream_life_changed(&self) {
-        let in_force = self.in_force.borrow();
-        if let Some(table) = in_force.table() {
-            let mut begun = self.begun_streams.borrow_mut();
-            begun.set_remembered(table.stream_life_ms());
+        if let Some(life_ms) = self.stream_life_ms() {
+            self.begun_streams.borrow_mut().set_remembered(life_ms);
         }
     }
 
+    /// Records that the list of upstreams is complete as of `seen_at`.
+    pub(super) fn on_upstreams_seen(&self, seen_at: Millis) {
+        let fleet = self.fleet.borrow();
+        let upstreams = fleet.iter().map(|u| (&u.service, u.software.as_ref()));
+        let mut served = self.served_versions.borrow_mut();
+        served.on_view(seen_at, upstreams);
+        served.forget(seen_at.minus(VERSION_REMEMBERED_MS));
+    }
+
+    /// Returns the only software version of a service that has served for as long as streams live, if
+    /// there was only one.
+    pub(super) fn sole_software(&self, service: &str) -> Option<Arc<str>> {
+        let life_ms = self.stream_life_ms()?;
+        let served = self.served_versions.borrow();
+        served.sole(self.clock.now(), service, life_ms).cloned()
+    }
+
     /// Returns the latest known era of the log, or 0 before the first answer.
     pub(super) fn log_era(&self) -> u64 {
         self.log_era.get().unwrap_or(0)
--- a/crates/vanillakeel-entry/src/gateway/streams.rs
+++ b/crates/vanillakeel-entry/src/gateway/streams.rs
@@ -2,7 +2,7 @@
 //!
 //! [`on_first_event`] tells the keepers of a stream by which software version it began, before the first
 //! event is relayed. [`software_of`] finds the version for a request that continues a stream: in the
-//! memory of this instance, or by asking the keepers.
+//! memory of this instance, by asking the keepers, or since only one version can have begun the stream.
 
 use super::{
     answer::Refusal,
@@ -19,11 +19,17 @@
 };
 use tokio::{
     sync::Notify,
-    time::timeout, //
+    time::{
+        sleep,
+        timeout, //
+    },
 };
-use vanillakeel::streams::{
-    Lookup,
-    StreamId, //
+use vanillakeel::{
+    Millis,
+    streams::{
+        Lookup,
+        StreamId, //
+    },
 };
 use vanillakeel_wire::generated::{
     MeshStreamAnswer,
@@ -36,6 +42,9 @@
 /// centres.
 const ANSWER_DUE_MS: u64 = 50;
 
+/// Time limit for a read of the upstreams that a request waits for, in ms.
+const READ_DUE_MS: u64 = 300;
+
 /// How often the keepers of a stream are asked.
 const MAX_QUERIES: u32 = 3;
 
@@ -61,6 +70,8 @@
 enum KnownBy {
     Memory,
     Keeper,
+    /// Only one version has served for as long as streams live.
+    SoleVersion,
 }
 
 impl KnownBy {
@@ -68,6 +79,7 @@
         match self {
             Self::Memory => "memory",
             Self::Keeper => "keeper",
+            Self::SoleVersion => "sole_version",
         }
     }
 }
@@ -105,9 +117,14 @@
     let now = shared.clock.now();
     let begun = shared.begun_streams.borrow();
     let software = begun.software(now, StreamId::new(query.stream));
+    let sole = match software {
+        Some(_) => None,
+        None => shared.sole_software(&query.service),
+    };
     MeshStreamAnswer {
         stream: query.stream,
         software: software.as_deref().map(str::to_owned),
+        sole_software: sole.as_deref().map(str::to_owned),
     }
 }
 
@@ -125,7 +142,8 @@
     }
     for lookup in pending {
         if answer.software.is_none() {
-            lookup.lookup.borrow_mut().on_unknown(keeper);
+            let sole = answer.sole_software.as_deref();
+            lookup.lookup.borrow_mut().on_unknown(keeper, sole);
         }
         lookup.answered.notify_one();
     }
@@ -144,18 +162,14 @@
     let Some(continued) = request.continues else {
         return Ok(None);
     };
-    let Continued::Stream(stream) = continued else {
-        return Err(Refusal::UnknownStream(None));
-    };
     let asked_at = shared.clock.now();
-    let in_memory = shared.begun_streams.borrow().software(asked_at, stream);
-    let known_by = match in_memory {
-        Some(_) => KnownBy::Memory,
-        None => KnownBy::Keeper,
+    let in_memory = match continued {
+        Continued::Stream(stream) => shared.begun_streams.borrow().software(asked_at, stream),
+        Continued::Unnamed => None,
     };
-    let software = match in_memory {
-        Some(software) => software,
-        None => ask_keepers(shared, stream).await?,
+    let (software, known_by) = match in_memory {
+        Some(software) => (software, KnownBy::Memory),
+        None => ask_keepers(shared, request).await?,
     };
     shared.metrics.on_taken_up(known_by.as_str());
     if shared.may_log(Kind::Usual) {
@@ -179,30 +193,80 @@
 }
 
 /// Asks the keepers of a stream for the version that began it.
-async fn ask_keepers(shared: &Rc<Shared>, stream: StreamId) -> Result<Arc<str>, Refusal> {
+///
+/// If no keeper knows the stream, it can still go on where only one version has served for as long as
+/// streams live.
+async fn ask_keepers(
+    shared: &Rc<Shared>,
+    request: &RoutedRequest,
+) -> Result<(Arc<str>, KnownBy), Refusal> {
+    let stream = request.stream();
     let keepers = shared.mesh.borrow().keepers_to_ask(stream);
     let names = keepers.iter().map(|k| Arc::clone(&k.name)).collect();
-    let pending = RegisteredLookup::new(shared, stream, Lookup::new(names));
+    let lookup = RegisteredLookup::new(shared, stream, Lookup::new(names));
     let question = Message::StreamQuery(MeshStreamQuery {
         stream: stream.get(),
+        service: request.service.to_string(),
     });
     for _ in 0..MAX_QUERIES {
         for keeper in &keepers {
             peers::try_send(shared, keeper, question.clone());
         }
-        let known = timeout(
-            Duration::from_millis(ANSWER_DUE_MS),
-            pending.known_or_over(shared),
-        );
-        match known.await {
-            Ok(Some(software)) => return Ok(software),
+        let due = Duration::from_millis(ANSWER_DUE_MS);
+        match timeout(due, lookup.known_or_over()).await {
+            Ok(Some(software)) => return Ok((software, KnownBy::Keeper)),
             Ok(None) => break,
             Err(_) => {}
         }
     }
-    // If no keeper can be reached from here, another instance may still know the stream.
-    let is_answered = pending.pending.lookup.borrow().is_answered();
-    Err(Refusal::UnknownStream((!is_answered).then_some(0)))
+    let lookup = lookup.pending.lookup.borrow().clone();
+    let vouched = lookup.sole();
+    match sole_software(shared, request, vouched).await {
+        Some(software) => Ok((software, KnownBy::SoleVersion)),
+        // If no keeper can be reached from here, another instance may still know the stream.
+        None => Err(Refusal::UnknownStream((!lookup.is_answered()).then_some(0))),
+    }
+}
+
+/// Returns the only version that can have begun the stream of a request: this instance or its peers have
+/// seen no other one, and the list shows no other one after the arrival of the request.
+async fn sole_software(
+    shared: &Rc<Shared>,
+    request: &RoutedRequest,
+    vouched: Option<Arc<str>>,
+) -> Option<Arc<str>> {
+    let candidate = shared.sole_software(&request.service).or(vouched)?;
+    if !read_upstreams(shared, request.arrived).await {
+        return None;
+    }
+    let is_sole = shared
+        .fleet
+        .borrow()
+        .iter()
+        .filter(|u| u.service == request.service)
+        .all(|u| u.software.as_deref() == Some(&*candidate));
+    is_sole.then_some(candidate)
+}
+
+/// Waits for a read of the upstreams that is sent after `since`; returns whether there was one.
+///
+/// A read of the same millisecond may have been sent before.
+async fn read_upstreams(shared: &Shared, since: Millis) -> bool {
+    let start = shared.clock.now();
+    if start <= since {
+        sleep(Duration::from_millis(1)).await;
+    }
+    loop {
+        if shared.upstreams_read_at.get() > Some(since) {
+            return true;
+        }
+        let left_ms = READ_DUE_MS.saturating_sub(shared.clock.now().since(start));
+        let read = shared.upstreams_read.notified();
+        shared.read_upstreams.notify_one();
+        if timeout(Duration::from_millis(left_ms), read).await.is_err() {
+            return false;
+        }
+    }
 }
 
 /// A lookup that is registered for answers until it is dropped.
@@ -223,10 +287,11 @@
     }
 
     /// Waits until the version is known, or until all keepers have said that they don't know it.
-    async fn known_or_over(&self, shared: &Shared) -> Option<Arc<str>> {
+    async fn known_or_over(&self) -> Option<Arc<str>> {
         loop {
-            let now = shared.clock.now();
-            let known = shared
+            let now = self.shared.clock.now();
+            let known = self
+                .shared
                 .begun_streams
                 .borrow()
                 .software(now, self.pending.stream);
--- a/crates/vanillakeel-entry/src/gateway/watch/upstreams.rs
+++ b/crates/vanillakeel-entry/src/gateway/watch/upstreams.rs
@@ -31,7 +31,7 @@
     sync::Arc,
     time::Duration, //
 };
-use tokio::time::timeout;
+use tokio::time::sleep;
 use vanillakeel::Millis;
 
 /// Time for which the upstreams known to the hub may differ from those known here before the log is
@@ -48,8 +48,10 @@
 /// Follows the list of upstreams for as long as the process runs.
 pub(in super::super) async fn follow_upstreams(shared: Rc<Shared>, log: LogAdapter) {
     let mut list = UpstreamList::default();
+    let mut is_asked = false;
     loop {
-        let pause_ms = if list.is_kept_by_hub(&shared) {
+        let pause_ms = if !is_asked && list.is_kept_by_hub(&shared) {
+            shared.on_upstreams_seen(shared.clock.now());
             // Records that follow the last own read may list upstreams that the hub has removed since,
             // so the newest ones are read next.
             list.position = None;
@@ -58,9 +60,12 @@
             list.read(&shared, &log).await
         };
         sweep_connections(&shared);
-        let pause = Duration::from_millis(pause_ms);
-        // A rise of the era ends the pause.
-        let _ = timeout(pause, shared.era_risen.notified()).await;
+        shared.upstreams_read.notify_waiters();
+        is_asked = tokio::select! {
+            () = sleep(Duration::from_millis(pause_ms)) => false,
+            () = shared.era_risen.notified() => false,
+            () = shared.read_upstreams.notified() => true,
+        };
     }
 }
 
@@ -138,13 +143,14 @@
         }
         let next = position_after(page);
         let has_progress = self.position.replace(next) != Some(next);
-        if page.is_up_to_date {
-            shared.upstreams_read_at.set(Some(asked_at));
-        }
         shared.hub_differs_since.set(None);
         let skipped = if is_list { &*self.outdated } else { &[] };
         apply_upstreams(shared, log, page, skipped, &mut self.missing);
         self.missing.remove_due(shared, now);
+        if page.is_up_to_date {
+            shared.upstreams_read_at.set(Some(asked_at));
+            shared.on_upstreams_seen(asked_at);
+        }
         match (page.is_up_to_date, has_progress) {
             (true, _) => timing.discovery_every_ms,
             (false, true) => 0,
--- a/crates/vanillakeel-wire/src/generated.rs
+++ b/crates/vanillakeel-wire/src/generated.rs
@@ -338,10 +338,13 @@
     pub software: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 /// A question for the software version that began a stream.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct MeshStreamQuery {
     #[prost(fixed64, tag = "1")]
     pub stream: u64,
+    /// Service that the stream belongs to.
+    #[prost(string, tag = "2")]
+    pub service: ::prost::alloc::string::String,
 }
 /// The answer to the question.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -351,6 +354,10 @@
     /// Missing if the stream is not known.
     #[prost(string, optional, tag = "2")]
     pub software: ::core::option::Option<::prost::alloc::string::String>,
+    /// If the stream is not known: the only version of the service that has served for as long as streams
+    /// live, if there was only one.
+    #[prost(string, optional, tag = "3")]
+    pub sole_software: ::core::option::Option<::prost::alloc::string::String>,
 }
 /// An upstream as service discovery lists it.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/vanillakeel/src/streams.rs
+++ b/crates/vanillakeel/src/streams.rs
@@ -4,7 +4,8 @@
 //! brought the first event, and may do so at any instance, also after the first one has ended. The
 //! instance that relays the first event therefore tells a few others, the *keepers* of the stream,
 //! before the caller gets it ([`Mesh::keepers`](crate::mesh::Mesh::keepers)). An instance that does not
-//! know a stream asks them.
+//! know a stream asks them. A stream that nobody knows can still go on while only one version
+//! [has served](ServedVersions) for as long as streams live.
 //!
 //! ```
 //! use vanillakeel::{Millis, streams::{BegunStreams, Settings, StreamId}};
@@ -17,6 +18,7 @@
 
 mod begun;
 mod lookup;
+mod served;
 
 pub use self::{
     begun::{
@@ -24,6 +26,7 @@
         Settings, //
     },
     lookup::Lookup,
+    served::ServedVersions, //
 };
 
 use crate::order;
--- a/crates/vanillakeel/tests/begun_streams.rs
+++ b/crates/vanillakeel/tests/begun_streams.rs
@@ -143,12 +143,26 @@
 #[test]
 fn lookup_over() {
     let mut lookup = Lookup::new(vec![Arc::from("a"), Arc::from("b")]);
-    lookup.on_unknown("c");
+    lookup.on_unknown("c", None);
     assert!(!lookup.is_answered());
-    lookup.on_unknown("a");
-    lookup.on_unknown("a");
+    lookup.on_unknown("a", None);
+    lookup.on_unknown("a", None);
     assert!(lookup.is_answered() && !lookup.is_over());
-    lookup.on_unknown("b");
+    lookup.on_unknown("b", None);
     assert!(lookup.is_over());
     assert!(Lookup::default().is_over());
 }
+
+/// Keepers vouch for the only version that has served, unless they differ.
+#[rstest]
+#[case::none(&[None, None], None)]
+#[case::one(&[None, Some("v1")], Some("v1"))]
+#[case::same(&[Some("v1"), Some("v1")], Some("v1"))]
+#[case::different(&[Some("v1"), Some("v2"), Some("v1")], None)]
+fn vouched(#[case] answers: &[Option<&str>], #[case] expected: Option<&str>) {
+    let mut lookup = Lookup::new(Vec::new());
+    for sole in answers {
+        lookup.on_unknown("a", *sole);
+    }
+    assert_eq!(lookup.sole().as_deref(), expected);
+}
