fix: streams that removed upstreams have begun count against the only version

Cause: found by the fault schedules for streams that this change adds. Whether only one version can have begun a stream was decided by the versions listed while streams go on. An upstream that was removed from the list may still begin a stream for an instance that has lost contact with the log, and what a hub supplies is up to 1.8 s old but was taken for present.

With either safeguard off, the binding or the read of the list, the check finds the fault.

Now: the history that is needed is 10 s longer than a stream goes on, the time for which a removed upstream may serve; a hub's view counts as 1.8 s old; an upstream that the same page lists and removes counts as seen.

--- a/crates/vanillakeel-bench/src/faults.rs
+++ b/crates/vanillakeel-bench/src/faults.rs
@@ -4,7 +4,7 @@
 //! share a `faulty_log`, which loses requests and answers, delays records and is trimmed.
 //! Instances are cut off from the log, pause, crash and restart at random.
 //!
-//! `claims`, `configs` and `leases` each check the invariants of one part, and `command` runs them
+//! `claims`, `configs`, `leases` and `streams` each check the invariants of one part, and `command` runs them
 //! and is the command-line interface. A seed always gives the same schedule.
 
 mod claims;
@@ -12,6 +12,7 @@
 mod configs;
 mod faulty_log;
 mod leases;
+mod streams;
 
 pub(crate) use self::command::{
     command,
--- a/crates/vanillakeel-bench/src/faults/claims.rs
+++ b/crates/vanillakeel-bench/src/faults/claims.rs
@@ -55,6 +55,10 @@
     pub version_never_falls: bool,
     /// The holder of a lease stops when the lease's duration has passed.
     pub lease_expires: bool,
+    /// A stream that is taken up goes on at the version that began it.
+    pub binds_streams: bool,
+    /// The list is read again before a stream goes on at the only version that has served.
+    pub reads_list_first: bool,
 }
 
 impl Default for Guards {
@@ -63,6 +67,8 @@
             claim_before_send: true,
             version_never_falls: true,
             lease_expires: true,
+            binds_streams: true,
+            reads_list_first: true,
         }
     }
 }
--- a/crates/vanillakeel-bench/src/faults/command.rs
+++ b/crates/vanillakeel-bench/src/faults/command.rs
@@ -4,7 +4,8 @@
     Guards,
     claims,
     configs,
-    leases, //
+    leases,
+    streams, //
 };
 use clap::{
     Arg,
@@ -17,11 +18,11 @@
 
 /// Faults found over all schedules.
 ///
-/// The counts `runs`, `versions`, `orders` and `holders` are not faults; they show that the
-/// schedules did exercise the library.
+/// The counts `runs`, `versions`, `orders`, `holders`, `streams`, `continued_streams` and
+/// `unknown_streams` are not faults; they show that the schedules did exercise the library.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct Totals {
-    /// Number of schedules; each covers claims, configurations and leases.
+    /// Number of schedules; each covers claims, configurations, leases and streams.
     pub schedules: u64,
     /// Idempotency keys whose requests ran more than once.
     pub doubled: u64,
@@ -34,6 +35,8 @@
     /// Commands sent under an old lease, which an upstream that ignores fencing tokens would carry
     /// out.
     pub stale_orders_accepted: u64,
+    /// Streams that went on at another software version than the one that began them.
+    pub mixed_streams: u64,
     /// Runs of requests with an idempotency key.
     pub runs: u64,
     /// Configuration versions that came into force.
@@ -42,6 +45,12 @@
     pub orders: u64,
     /// Times that a new holder of the lease sent its first command.
     pub holders: u64,
+    /// Streams that have begun.
+    pub streams: u64,
+    /// Times that a caller took up a stream and it went on.
+    pub continued_streams: u64,
+    /// Times that a caller took up a stream whose version could not be found.
+    pub unknown_streams: u64,
     /// The first seed whose schedule showed a fault.
     pub failing_seed: Option<u64>,
 }
@@ -55,6 +64,7 @@
             && self.reverted == 0
             && self.diverged == 0
             && self.stale_orders_accepted == 0
+            && self.mixed_streams == 0
     }
 }
 
@@ -66,6 +76,7 @@
         let claims = claims::run(seed, steps, guards);
         let configs = configs::run(seed, steps, guards);
         let leases = leases::run(seed, steps, guards);
+        let streams = streams::run(seed, steps, guards);
         totals.schedules += 1;
         totals.doubled += claims.doubled;
         totals.false_not_run += claims.false_not_run;
@@ -76,6 +87,10 @@
         totals.stale_orders_accepted += leases.stale_commands_accepted;
         totals.orders += leases.commands;
         totals.holders += leases.holders;
+        totals.mixed_streams += streams.mixed;
+        totals.streams += streams.begun;
+        totals.continued_streams += streams.continued;
+        totals.unknown_streams += streams.unknown;
         if !totals.is_sound() && totals.failing_seed.is_none() {
             totals.failing_seed = Some(seed);
         }
@@ -95,7 +110,7 @@
 /// Returns the definition of the command's arguments.
 pub(crate) fn command() -> Command {
     Command::new("faults")
-        .about("Run random schedules of faults against claims, configurations and leases")
+        .about("Run random schedules of faults against claims, configurations, leases and streams")
         .arg(number_arg("seed", "1", "First seed"))
         .arg(number_arg("schedules", "1000", "Number of schedules"))
         .arg(number_arg("steps", "1000", "Steps of a schedule"))
--- a/crates/vanillakeel-bench/tests/random_schedules.rs
+++ b/crates/vanillakeel-bench/tests/random_schedules.rs
@@ -12,7 +12,7 @@
 const SCHEDULES: u64 = 200;
 const STEPS: u64 = 1_000;
 
-/// Guards against faults in claims, configurations and leases, and against schedules that check
+/// Guards against faults in claims, configurations, leases and streams, and against schedules that check
 /// nothing because nothing happens in them.
 #[test]
 fn no_fault_found() {
@@ -21,6 +21,7 @@
     assert!(totals.runs > SCHEDULES, "{totals:?}");
     assert!(totals.versions > SCHEDULES, "{totals:?}");
     assert!(totals.holders > SCHEDULES, "{totals:?}");
+    assert!(totals.continued_streams > SCHEDULES, "{totals:?}");
 }
 
 /// Guards against checks that miss a fault: with a safeguard of the library turned off, the checks
@@ -29,6 +30,8 @@
 #[case::claim(Guards { claim_before_send: false, ..Guards::default() }, |t: &Totals| t.doubled)]
 #[case::version(Guards { version_never_falls: false, ..Guards::default() }, |t: &Totals| t.reverted)]
 #[case::lease(Guards { lease_expires: false, ..Guards::default() }, |t: &Totals| t.stale_orders_accepted)]
+#[case::streams(Guards { binds_streams: false, ..Guards::default() }, |t: &Totals| t.mixed_streams)]
+#[case::old_list(Guards { reads_list_first: false, ..Guards::default() }, |t: &Totals| t.mixed_streams)]
 fn missing_guard_found(#[case] guards: Guards, #[case] count: fn(&Totals) -> u64) {
     let totals = run_schedules(SEED, SCHEDULES, STEPS, guards);
     assert!(count(&totals) > 0, "{totals:?}");
--- a/crates/vanillakeel-entry/src/gateway/peers.rs
+++ b/crates/vanillakeel-entry/src/gateway/peers.rs
@@ -61,7 +61,7 @@
 
 /// Largest age of the last read of the upstreams at which a hub counts as fresh, in ms: an interval of
 /// reads and a repetition of one that is late.
-const MAX_READ_AGE_MS: u64 = 1_200;
+pub(super) const MAX_READ_AGE_MS: u64 = 1_200;
 
 /// Exchanges messages with peers for as long as the process runs.
 pub(super) async fn run(shared: Rc<Shared>, log: LogAdapter, socket: Rc<UdpSocket>) {
--- a/crates/vanillakeel-entry/src/gateway/watch/upstreams.rs
+++ b/crates/vanillakeel-entry/src/gateway/watch/upstreams.rs
@@ -18,6 +18,7 @@
             Answer,
             ReadRequest, //
         },
+        peers::MAX_READ_AGE_MS,
         shared::Shared,
     },
     COVERED_POLL_MS,
@@ -38,6 +39,10 @@
 /// read, in ms.
 const MAX_HUB_DIFFERENCE_MS: u64 = 600;
 
+/// Age of what is known of the upstreams while a hub supplies it, in ms, at most: that of the hub's last
+/// read and the time for which the views may differ.
+const MAX_HUB_VIEW_AGE_MS: u64 = MAX_READ_AGE_MS + MAX_HUB_DIFFERENCE_MS;
+
 /// Largest fraction of the known upstreams that is treated as removed if it is missing at once after
 /// an outage of the log.
 ///
@@ -51,7 +56,8 @@
     let mut is_asked = false;
     loop {
         let pause_ms = if !is_asked && list.is_kept_by_hub(&shared) {
-            shared.on_upstreams_seen(shared.clock.now());
+            let seen_at = shared.clock.now().minus(MAX_HUB_VIEW_AGE_MS);
+            shared.on_upstreams_seen(seen_at);
             // Records that follow the last own read may list upstreams that the hub has removed since,
             // so the newest ones are read next.
             list.position = None;
@@ -146,11 +152,12 @@
         shared.hub_differs_since.set(None);
         let skipped = if is_list { &*self.outdated } else { &[] };
         apply_upstreams(shared, log, page, skipped, &mut self.missing);
-        self.missing.remove_due(shared, now);
         if page.is_up_to_date {
             shared.upstreams_read_at.set(Some(asked_at));
+            // Upstreams that the same page lists and removes count as seen.
             shared.on_upstreams_seen(asked_at);
         }
+        self.missing.remove_due(shared, now);
         match (page.is_up_to_date, has_progress) {
             (true, _) => timing.discovery_every_ms,
             (false, true) => 0,
--- a/crates/vanillakeel/src/streams/served.rs
+++ b/crates/vanillakeel/src/streams/served.rs
@@ -7,8 +7,12 @@
 use std::sync::Arc;
 
 /// Longest time between two complete views of the upstreams in which no version can come and go unseen,
-/// in ms: an upstream that leaves serves for some time after it was listed.
-const MAX_GAP_MS: u64 = 3_000;
+/// in ms: each upstream is listed for longer.
+const MAX_GAP_MS: u64 = 2_500;
+
+/// Longest time for which an upstream may still begin streams after it was removed from the list, in ms,
+/// sent by an instance that has lost contact with the log.
+const MAX_UNLISTED_MS: u64 = 10_000;
 
 #[derive(Clone, Debug)]
 struct Served {
@@ -58,16 +62,16 @@
         }
     }
 
-    /// Returns the only version of a service that has served in the last `life_ms`, or `None` if there
-    /// were several or this instance has not seen all of them.
+    /// Returns the only version of a service that can have begun a stream in the last `life_ms`, or
+    /// `None` if there were several or this instance has not seen all of them.
     #[must_use]
     pub fn sole(&self, now: Millis, service: &str, life_ms: u64) -> Option<&Arc<str>> {
         let since = self.complete_since?;
-        let is_seen = now.since(since) >= life_ms && now.since(self.last_view) <= MAX_GAP_MS;
-        let mut lately = self
-            .served
-            .iter()
-            .filter(|s| *s.service == *service && now.since(s.last_seen) <= life_ms + MAX_GAP_MS);
+        let history_ms = life_ms + MAX_UNLISTED_MS;
+        let is_seen = now.since(since) >= history_ms && now.since(self.last_view) <= MAX_GAP_MS;
+        let is_recent = |s: &&Served| now.since(s.last_seen) <= history_ms + MAX_GAP_MS;
+        let of_service = self.served.iter().filter(|s| *s.service == *service);
+        let mut lately = of_service.filter(is_recent);
         let first = lately.next()?;
         let is_sole = is_seen && lately.next().is_none();
         first.software.as_ref().filter(|_| is_sole)
--- a/crates/vanillakeel/tests/served_versions.rs
+++ b/crates/vanillakeel/tests/served_versions.rs
@@ -41,17 +41,17 @@
 /// Guards against a stream that goes on at the only version that is left, although another one may have
 /// begun it.
 #[rstest]
-#[case::long_enough(vec![steady(0, 20, V1)], 20, Some("v1"))]
-#[case::too_short(vec![steady(10, 20, V1)], 20, None)]
-#[case::two_versions(vec![steady(0, 20, V1), steady(21, 22, BOTH)], 22, None)]
-#[case::left_lately(vec![steady(0, 20, BOTH), steady(21, 30, V2)], 30, None)]
-#[case::left_long_ago(vec![steady(0, 20, BOTH), steady(21, 45, V2)], 45, Some("v2"))]
-#[case::unseen_gap(vec![steady(0, 20, V1), steady(25, 30, V1)], 30, None)]
-#[case::seen_again_for_long(vec![steady(0, 20, V1), steady(25, 45, V1)], 45, Some("v1"))]
-#[case::old_view(vec![steady(0, 20, V1)], 24, None)]
-#[case::unknown_version(vec![steady(0, 20, UNKNOWN)], 20, None)]
-#[case::unknown_beside(vec![steady(0, 19, V1), steady(20, 20, UNKNOWN)], 20, None)]
-#[case::nothing_seen(vec![], 20, None)]
+#[case::long_enough(vec![steady(0, 26, V1)], 26, Some("v1"))]
+#[case::too_short(vec![steady(1, 26, V1)], 26, None)]
+#[case::two_versions(vec![steady(0, 28, V1), steady(29, 30, BOTH)], 30, None)]
+#[case::left_lately(vec![steady(0, 20, BOTH), steady(21, 45, V2)], 45, None)]
+#[case::left_long_ago(vec![steady(0, 20, BOTH), steady(21, 50, V2)], 50, Some("v2"))]
+#[case::unseen_gap(vec![steady(0, 20, V1), steady(23, 45, V1)], 45, None)]
+#[case::seen_again_for_long(vec![steady(0, 20, V1), steady(23, 50, V1)], 50, Some("v1"))]
+#[case::old_view(vec![steady(0, 40, V1)], 43, None)]
+#[case::unknown_version(vec![steady(0, 40, UNKNOWN)], 40, None)]
+#[case::unknown_beside(vec![steady(0, 39, V1), steady(40, 40, UNKNOWN)], 40, None)]
+#[case::nothing_seen(vec![], 40, None)]
 fn sole_version(#[case] views: Vec<Vec<View>>, #[case] now: u64, #[case] expected: Option<&str>) {
     let served = served(&views.concat());
     let sole = served.sole(Millis::new(now * 1_000), SERVICE, LIFE_MS);
@@ -61,8 +61,8 @@
 /// Versions that left long ago are dropped.
 #[test]
 fn forgotten() {
-    let mut served = served(&[steady(0, 5, V1), steady(6, 20, V2)].concat());
-    served.forget(Millis::new(10_000));
-    let sole = served.sole(Millis::new(20_000), SERVICE, LIFE_MS);
+    let mut served = served(&[steady(0, 15, V1), steady(16, 30, V2)].concat());
+    served.forget(Millis::new(20_000));
+    let sole = served.sole(Millis::new(30_000), SERVICE, LIFE_MS);
     assert_eq!(sole.map(|s| &**s), Some("v2"));
 }
