fix: prefixes are fetched only between upstreams of the same version

Cached segments are written by an upstream, and a request names another one from which they are fetched, of whatever version.

Now: the best source of each version is kept, and an upstream fetches from one of its own version.

--- a/crates/vanillakeel/src/fleet/choose.rs
+++ b/crates/vanillakeel/src/fleet/choose.rs
@@ -16,6 +16,7 @@
 //! overflow to different upstreams, although all instances see the same outdated load.
 
 use super::{
+    cache_source::CacheSources,
     request::{
         CacheSource,
         Pick,
@@ -80,19 +81,19 @@
         let random = self.next_random();
         let group = self.eligible_group(now, request);
         let ordered = Self::rendezvous_order(request, &group, random);
-        let source = self.cache_source(request, None);
+        let sources = self.cache_sources(request, None);
         let free_wait_limit = self.free_wait_limit_ms(request, &group);
-        self.cheapest_until_free(request, &ordered, source.as_ref(), free_wait_limit)
+        self.cheapest_until_free(request, &ordered, &sources, free_wait_limit)
             .map(|best| self.pick(request, &best))
     }
 
     /// Returns the upstream with the shortest wait, whether or not it has the prompt cached.
     pub(super) fn shortest_wait(&self, now: Millis, request: &RequestInfo<'_>) -> Option<Pick> {
         let group = self.eligible_group(now, request);
-        let source = self.cache_source(request, None);
+        let sources = self.cache_sources(request, None);
         let candidates = group
             .iter()
-            .map(|u| self.candidate(request, u, source.as_ref(), NOT_PREFERRED));
+            .map(|u| self.candidate(request, u, &sources, NOT_PREFERRED));
         candidates
             .min_by(|a, b| a.wait_ms.total_cmp(&b.wait_ms))
             .map(|best| self.pick(request, &best))
@@ -103,7 +104,9 @@
     /// A source is named even if the upstream is believed to have all segments, since it may have
     /// evicted them; it fetches only what it lacks.
     fn pick(&self, request: &RequestInfo<'_>, best: &Candidate<'_>) -> Pick {
-        best.pick(self.cache_source(request, Some(&best.upstream.listed.name)))
+        let listed = &best.upstream.listed;
+        let sources = self.cache_sources(request, Some(&listed.name));
+        best.pick(sources.of(listed.software.as_deref()).cloned())
     }
 
     /// Sorts a group by rendezvous weight for the shared prefix, which gives the same order at all
@@ -139,12 +142,12 @@
         &self,
         request: &RequestInfo<'_>,
         ordered: &[&'a Upstream],
-        source: Option<&CacheSource>,
+        sources: &CacheSources<'_>,
         free_wait_limit: f64,
     ) -> Option<Candidate<'a>> {
         let mut best: Option<Candidate<'a>> = None;
         for (position, upstream) in ordered.iter().enumerate() {
-            let candidate = self.candidate(request, upstream, source, position);
+            let candidate = self.candidate(request, upstream, sources, position);
             let is_free = candidate.wait_ms <= free_wait_limit;
             if best.as_ref().is_none_or(|b| candidate.cost < b.cost) {
                 best = Some(candidate);
@@ -160,12 +163,13 @@
         &self,
         request: &RequestInfo<'_>,
         upstream: &'a Upstream,
-        source: Option<&CacheSource>,
+        sources: &CacheSources<'_>,
         position: usize,
     ) -> Candidate<'a> {
         let cfg = self.settings();
         let cached_tokens = Self::cached_tokens(request, upstream, position);
-        let fetched_tokens = source
+        let fetched_tokens = sources
+            .of(upstream.listed.software.as_deref())
             .filter(|s| s.name != upstream.listed.name)
             .map_or(0, |s| s.cached_tokens.saturating_sub(cached_tokens));
         let available_tokens = cached_tokens + fetched_tokens;
--- a/crates/vanillakeel/tests/cache_transfers.rs
+++ b/crates/vanillakeel/tests/cache_transfers.rs
@@ -11,6 +11,7 @@
     listed,
     ranked_request, //
 };
+use rstest::rstest;
 use std::sync::Arc;
 use vanillakeel::{
     Millis,
@@ -222,3 +223,31 @@
     let pick = other.choose(NOW, &request(&prefix)).expect("an upstream");
     assert_eq!(source_name(&pick), Some(&*preferred.name));
 }
+
+/// A prefix is fetched only between upstreams with the same version of the software.
+///
+/// Guards against cached segments that another version has written in its own form.
+#[rstest]
+#[case::same_version(Some("v1"), true)]
+#[case::other_version(Some("v2"), false)]
+#[case::unknown_version(None, false)]
+fn version_of_source(#[case] software: Option<&str>, #[case] is_named: bool) {
+    let mut fleet = fleet(0, 1);
+    fleet.on_listed(&ListedUpstream {
+        software: Some(Arc::from("v1")),
+        ..listed(0)
+    });
+    let segments = segments(1, 2);
+    let source = compute(&mut fleet, &request(&segments));
+    fleet.on_listed(&ListedUpstream {
+        software: software.map(Arc::from),
+        ..listed(1)
+    });
+    // Requests overflow from the upstream that has the prefix.
+    fill(&mut fleet, &source);
+    let overflow = choose_without(&mut fleet, &segments, &[]);
+    assert_eq!(&*overflow.name, "runner-1");
+    assert_eq!(source_name(&overflow), is_named.then_some("runner-0"));
+    let fetched_tokens = if is_named { SHARED_TOKENS } else { 0 };
+    assert_eq!(overflow.fetched_tokens, fetched_tokens);
+}
