fix: an instance that stops hands over the streams that it knows

Instances that are restarted one after the other, as in a release of our own, forget what they keep: once all keepers of a stream have restarted, it can't go on.

Now: at a planned stop an instance tells the streams that it knows to their keepers, up to 64 in a datagram.

Evidence: stream_versions::instances_stopped_in_turn failed before.

--- a/crates/vanillakeel-entry/src/gateway/peers.rs
+++ b/crates/vanillakeel-entry/src/gateway/peers.rs
@@ -134,8 +134,10 @@
     }
 }
 
-/// Announces to the hubs that this instance is stopping, and deletes its address from the log.
+/// Announces to the hubs that this instance is stopping, tells the keepers of streams what it knows, and
+/// deletes its address from the log.
 pub(super) async fn leave(shared: &Shared, log: &LogAdapter, socket: &UdpSocket) {
+    streams::hand_over(shared);
     let hubs = {
         let mesh = shared.mesh.borrow();
         let now = shared.clock.now();
--- a/crates/vanillakeel-entry/src/gateway/streams.rs
+++ b/crates/vanillakeel-entry/src/gateway/streams.rs
@@ -26,6 +26,7 @@
 };
 use vanillakeel::{
     Millis,
+    mesh::Peer,
     streams::{
         Lookup,
         StreamId, //
@@ -45,6 +46,9 @@
 /// Time limit for a read of the upstreams that a request waits for, in ms.
 const READ_DUE_MS: u64 = 300;
 
+/// Most streams of which one datagram tells, so that it fits a packet of the network.
+const MAX_STREAMS_PER_DATAGRAM: usize = 64;
+
 /// How often the keepers of a stream are asked.
 const MAX_QUERIES: u32 = 3;
 
@@ -103,6 +107,34 @@
     }
 }
 
+/// Tells the keepers of all known streams, since this instance is stopping.
+pub(super) fn hand_over(shared: &Shared) {
+    let now = shared.clock.now();
+    let mut messages: Vec<(Peer, MeshStreams)> = Vec::new();
+    let begun = shared.begun_streams.borrow();
+    for (stream, software) in begun.iter(now) {
+        for keeper in shared.mesh.borrow().keepers(stream) {
+            let at = match messages.binary_search_by(|(peer, _)| peer.name.cmp(&keeper.name)) {
+                Ok(at) => at,
+                Err(at) => {
+                    messages.insert(at, (keeper, MeshStreams::default()));
+                    at
+                }
+            };
+            let (keeper, told) = &mut messages[at];
+            told.streams.push(stream.get());
+            told.software.push(software.to_owned());
+            if told.streams.len() == MAX_STREAMS_PER_DATAGRAM {
+                let told = std::mem::take(told);
+                peers::try_send(shared, keeper, Message::Streams(told));
+            }
+        }
+    }
+    for (keeper, told) in messages {
+        peers::try_send(shared, &keeper, Message::Streams(told));
+    }
+}
+
 /// Records streams of which a peer tells.
 pub(super) fn on_told(shared: &Shared, streams: &MeshStreams) {
     let now = shared.clock.now();
