fix: a stream that can't go on takes nothing from the retry budget

A resumption was taken from the budget that all requests share before an upstream was looked for. Beside two versions there is often none, so streams that can't go on used up the retries of those that can.

Now: an upstream that accepts the request is looked for first.

--- a/crates/vanillakeel-entry/src/gateway/exchange.rs
+++ b/crates/vanillakeel-entry/src/gateway/exchange.rs
@@ -249,6 +249,29 @@
     }
 }
 
+/// Returns the properties on which the choice of an upstream for the next attempt depends.
+fn request_info<'a>(request: &'a RoutedRequest, attempts: &'a Attempts) -> RequestInfo<'a> {
+    RequestInfo {
+        service: &request.service,
+        segments: &request.prompt_segments,
+        prompt_tokens: request.prompt_tokens,
+        rank: request.rank,
+        target_ms: request.route.target_ms,
+        tried: &attempts.tried,
+        software: attempts.software.as_deref(),
+    }
+}
+
+/// Returns whether an upstream is left that may continue the stream of a request, and takes the retry
+/// from the budget if so.
+pub(super) fn may_resume(shared: &Shared, request: &RoutedRequest, attempts: &Attempts) -> bool {
+    let info = request_info(request, attempts);
+    let now = shared.clock.now();
+    attempts.possible_runs < request.route.max_attempts
+        && shared.fleet.borrow().has_upstream(now, &info)
+        && shared.take_retry(&request.service)
+}
+
 /// Makes one attempt: sends a request to the best upstream and waits for the head of its response.
 ///
 /// When a stream is resumed, `resume_point` says where the upstream continues it.
@@ -264,15 +287,7 @@
     resume_point: &ResumePoint,
 ) -> Result<(Call, Response<Incoming>), SendFailure> {
     let now = shared.clock.now();
-    let info = RequestInfo {
-        service: &request.service,
-        segments: &request.prompt_segments,
-        prompt_tokens: request.prompt_tokens,
-        rank: request.rank,
-        target_ms: request.route.target_ms,
-        tried: &attempts.tried,
-        software: attempts.software.as_deref(),
-    };
+    let info = request_info(request, attempts);
     let pick = shared.fleet.borrow_mut().choose(now, &info);
     let mut pick = pick.ok_or(SendFailure::NoUpstream)?;
     // Admission control applies only until an upstream has received the request.
--- a/crates/vanillakeel-entry/src/gateway/relay.rs
+++ b/crates/vanillakeel-entry/src/gateway/relay.rs
@@ -368,9 +368,7 @@
             }
             attempts.software = software;
         }
-        let allows_retry = attempts.possible_runs < self.request.route.max_attempts
-            && self.shared.take_retry(&self.request.service);
-        if !allows_retry {
+        if !exchange::may_resume(&self.shared, &self.request, &attempts) {
             return;
         }
         let (shared, request) = (Rc::clone(&self.shared), Rc::clone(&self.request));
--- a/crates/vanillakeel/src/fleet/choose.rs
+++ b/crates/vanillakeel/src/fleet/choose.rs
@@ -87,6 +87,12 @@
             .map(|best| self.pick(request, &best))
     }
 
+    /// Returns whether any upstream accepts a request now.
+    #[must_use]
+    pub fn has_upstream(&self, now: Millis, request: &RequestInfo<'_>) -> bool {
+        !self.eligible_group(now, request).is_empty()
+    }
+
     /// Returns the upstream with the shortest wait, whether or not it has the prompt cached.
     pub(super) fn shortest_wait(&self, now: Millis, request: &RequestInfo<'_>) -> Option<Pick> {
         let group = self.eligible_group(now, request);
