test: fault schedules take up the streams that began last

Cause: with the longer history fewer instances vouch for a version, and the schedules met the case too seldom: a stream begins at the first upstream of a new version, and is taken up at once at an instance whose list is older. An instance read its list every 160 ms, and streams were taken up at random.

Now an instance reads the list about twice a second, every other stream is one of the two that began last, the upstream that was added last is chosen more often, and old versions leave sooner. The check and its bound stay.

--- a/crates/vanillakeel-bench/src/faults/streams.rs
+++ b/crates/vanillakeel-bench/src/faults/streams.rs
@@ -43,6 +43,12 @@
 /// Time between two steps in which a new version is released, in ms, at most.
 const RELEASE_EVERY_MS: u64 = 40_000;
 
+/// Steps in which an instance reads the list of upstreams, of 100.
+const READ_PERCENT: u64 = 20;
+
+/// Streams that began last, from which every other stream that is taken up is chosen.
+const RECENT_STREAMS: usize = 2;
+
 /// Datagrams that are lost, of 100.
 const LOST_PERCENT: u64 = 10;
 
@@ -173,8 +179,8 @@
         self.streams
             .retain(|s| now.since(s.last_event) < STREAM_LIFE_MS);
         for index in 0..INSTANCES {
-            // Each instance reads the list several times a second, unless it can't.
-            if self.random.below(100) < 60 {
+            // Each instance reads the list about twice a second, unless it can't.
+            if self.random.below(100) < READ_PERCENT {
                 self.read_list(index);
             }
         }
@@ -214,7 +220,11 @@
         if self.listed.len() < 2 || self.random.below(2) == 0 && self.listed.len() < MAX_UPSTREAMS {
             self.add_upstream();
         } else {
-            let removed = self.random.below(self.listed.len() as u64) as usize;
+            // Half of the upstreams that leave make room for a newer version.
+            let removed = match self.random.below(2) {
+                0 => 0,
+                _ => self.random.below(self.listed.len() as u64) as usize,
+            };
             if self.now.since(self.listed[removed].listed_at) >= MIN_LISTED_MS {
                 let upstream = self.listed.remove(removed);
                 self.leaving.push((upstream, self.now.plus(LEAVING_MS)));
@@ -244,7 +254,11 @@
         let allows = |u: &&Upstream| version.is_none_or(|v| *software(u.version) == *v);
         let view = &self.instances[index].view;
         let usable: Vec<_> = view.iter().filter(serves).filter(allows).copied().collect();
-        let at = self.random.below(usable.len().max(1) as u64) as usize;
+        // The upstream that was added last is idle, and is chosen more often.
+        let at = match self.random.below(2) {
+            0 => usable.len().saturating_sub(1),
+            _ => self.random.below(usable.len().max(1) as u64) as usize,
+        };
         usable.get(at).copied()
     }
 
@@ -289,7 +303,12 @@
         if self.streams.is_empty() || self.instances[index].is_old {
             return;
         }
-        let at = self.random.below(self.streams.len() as u64) as usize;
+        // Clients take up most streams soon after they began.
+        let recent = match self.random.below(2) {
+            0 => self.streams.len().min(RECENT_STREAMS),
+            _ => self.streams.len(),
+        };
+        let at = self.streams.len() - 1 - self.random.below(recent as u64) as usize;
         let id = self.streams[at].id;
         let known = if self.guards.binds_streams {
             let Some(known) = self.software_of(index, id) else {
