refactor: one file for turning responses of upstreams into those for callers

exchange.rs had grown to 679 lines with two jobs: the attempts of a request, and what becomes of a response that has a head. The second, with the record of a complete response, is now response.rs, and the end of a response that was read completely is its own function. Some comments are wrapped.

Nothing else changes. Ruled out: moving the attempts instead, on which relay.rs and request.rs depend.

--- a/crates/vanillakeel-bench/tests/random_schedules.rs
+++ b/crates/vanillakeel-bench/tests/random_schedules.rs
@@ -12,8 +12,8 @@
 const SCHEDULES: u64 = 200;
 const STEPS: u64 = 1_000;
 
-/// Guards against faults in claims, configurations, leases and streams, and against schedules that check
-/// nothing because nothing happens in them.
+/// Guards against faults in claims, configurations, leases and streams, and against schedules that
+/// check nothing because nothing happens in them.
 #[test]
 fn no_fault_found() {
     let totals = run_schedules(SEED, SCHEDULES, STEPS, Guards::default());
--- a/crates/vanillakeel-entry/src/gateway.rs
+++ b/crates/vanillakeel-entry/src/gateway.rs
@@ -37,6 +37,7 @@
 mod relay;
 mod relayed_events;
 mod request;
+mod response;
 mod run;
 mod settings;
 mod shared;
--- a/crates/vanillakeel-entry/src/gateway/exchange.rs
+++ b/crates/vanillakeel-entry/src/gateway/exchange.rs
@@ -16,22 +16,18 @@
         HttpConnection,
         SendError, //
     },
-    framing::{
-        self,
-        BodyFraming, //
-    },
+    framing::BodyFraming,
     headers,
     lines::Kind,
-    progress::Progress,
-    relay::Relay,
     relayed_events::ResumePoint,
     request::RoutedRequest,
+    response::{
+        self,
+        PreparedResponse, //
+    },
     shared::Shared, //
 };
-use bytes::{
-    Bytes,
-    BytesMut, //
-};
+use bytes::Bytes;
 use http::{
     HeaderMap,
     HeaderValue,
@@ -40,14 +36,8 @@
     StatusCode,
     header, //
 };
-use http_body_util::{
-    BodyExt as _,
-    Full, //
-};
-use hyper::body::{
-    Body as _,
-    Incoming, //
-};
+use http_body_util::Full;
+use hyper::body::Incoming;
 use std::{
     io,
     rc::Rc,
@@ -67,12 +57,6 @@
 /// Refusals by upstreams after which a request fails.
 const MAX_REFUSALS: u32 = 2;
 
-/// Largest response that is read completely before it is forwarded, in bytes.
-///
-/// If the response breaks off before it is forwarded, the request can still be retried at another
-/// upstream.
-const MAX_BUFFERED_BYTES: usize = 256 << 10;
-
 /// Divisor of a request's target: the quotient is the longest wait for an available upstream, counted
 /// from the arrival of the request.
 const UPSTREAM_WAIT_TARGET_DIVISOR: u64 = 8;
@@ -158,9 +142,9 @@
     loop {
         let failure = match send(shared, request, attempts, &ResumePoint::Start).await {
             Ok((call, response)) => {
-                match prepare_response(shared, request, attempts, call, response).await {
-                    Ok(UpstreamResponse::Final(response)) => return Ok(response),
-                    Ok(UpstreamResponse::ServerError(response)) => {
+                match response::prepare(shared, request, attempts, call, response).await {
+                    Ok(PreparedResponse::Final(response)) => return Ok(response),
+                    Ok(PreparedResponse::ServerError(response)) => {
                         server_error = Some(response);
                         SendFailure::Broken("error of the upstream")
                     }
@@ -533,147 +517,3 @@
     let idle_ms = headers::keep_alive_ms(headers).unwrap_or(cfg.idle_ms);
     Some(idle_ms.saturating_sub(cfg.margin_ms))
 }
-
-/// A response of an upstream that can be forwarded to the caller.
-enum UpstreamResponse {
-    /// The response that the caller gets.
-    Final(Response<ResponseBody>),
-    /// A server error (5xx) that the caller gets only if no other upstream succeeds.
-    ServerError(Response<ResponseBody>),
-}
-
-/// Turns the response of an upstream into the one for the caller.
-///
-/// A successful stream and a long body are relayed as they arrive; any other body is read
-/// completely first, so that a failure until then can be retried.
-///
-/// # Errors
-///
-/// Returns [`SendFailure::Broken`] if the body breaks off before it can be forwarded.
-async fn prepare_response(
-    shared: &Rc<Shared>,
-    request: &Rc<RoutedRequest>,
-    attempts: &mut Attempts,
-    mut call: Call,
-    response: Response<Incoming>,
-) -> Result<UpstreamResponse, SendFailure> {
-    let (mut head, body) = response.into_parts();
-    headers::strip_hop_by_hop(&mut head.headers);
-    let is_success = head.status.is_success();
-    let is_stream_route = request.route.kind.is_stream();
-    let has_events = is_success && framing::has_events(&head.headers, is_stream_route);
-    let buffered = if is_success && is_stream_route {
-        BufferedBody::Partial(Bytes::new(), body)
-    } else {
-        match buffer_body(body).await {
-            Ok(buffered) => buffered,
-            Err(_) => {
-                call.finish(CallOutcome::Failed);
-                return Err(SendFailure::Broken("answer broke off"));
-            }
-        }
-    };
-    match buffered {
-        BufferedBody::Complete(bytes) if has_events && !framing::is_between_events(&bytes) => {
-            call.finish(CallOutcome::Failed);
-            Err(SendFailure::Broken("answer ended within an event"))
-        }
-        BufferedBody::Complete(bytes) => {
-            let now = shared.clock.now();
-            call.on_first_event(now);
-            let is_failure = head.status.is_server_error();
-            let upstream = Arc::clone(call.upstream());
-            let framing = call.framing;
-            call.finish(if is_failure {
-                CallOutcome::Failed
-            } else {
-                CallOutcome::Success
-            });
-            let mut progress = Progress::default();
-            progress.on_chunk(now);
-            progress.bytes = bytes.len() as u64;
-            let ending = Ending {
-                framing,
-                partial_event_bytes: None,
-            };
-            log_response(shared, request, &upstream, head.status, &progress, ending);
-            let response = Response::from_parts(head, ResponseBody::Buffered(Some(bytes)));
-            Ok(if is_failure {
-                UpstreamResponse::ServerError(response)
-            } else {
-                UpstreamResponse::Final(response)
-            })
-        }
-        BufferedBody::Partial(bytes, body) => {
-            let attempts = std::mem::take(attempts);
-            let mut relay = Relay::new(shared, request, attempts, call, body);
-            if has_events {
-                // The length is that of this run, which a run at another upstream may continue, and a
-                // caller that has read it can no longer be told that the stream is broken.
-                head.headers.remove(header::CONTENT_LENGTH);
-                relay = relay.with_events();
-            }
-            relay.add_buffered(bytes);
-            let body = ResponseBody::Relayed(Box::new(relay));
-            Ok(UpstreamResponse::Final(Response::from_parts(head, body)))
-        }
-    }
-}
-
-/// How the body of a response has ended.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Ending {
-    pub(super) framing: BodyFraming,
-    /// Length of what follows the last complete event of a stream, in bytes.
-    pub(super) partial_event_bytes: Option<u64>,
-}
-
-/// Records a complete response in the metrics and the log.
-pub(super) fn log_response(
-    shared: &Shared,
-    request: &RoutedRequest,
-    upstream: &str,
-    status: StatusCode,
-    progress: &Progress,
-    ending: Ending,
-) {
-    let times = progress.times(request.arrived, shared.clock.now());
-    shared.metrics.on_answer(request.rank, status, &times);
-    if !shared.may_log(Kind::Usual) {
-        return;
-    }
-    tracing::info!(
-        request = %request.id,
-        upstream,
-        status = status.as_u16(),
-        bytes = progress.bytes,
-        first_ms = times.first_ms,
-        gap_ms = times.longest_gap_ms,
-        after_ms = times.total_ms,
-        framing = ending.framing.as_str(),
-        partial_event_bytes = ending.partial_event_bytes,
-        "answered"
-    );
-}
-
-/// A body that has been read up to a size limit.
-enum BufferedBody {
-    /// The complete body.
-    Complete(Bytes),
-    /// The beginning of a long body, and the rest that is still to be read.
-    Partial(Bytes, Incoming),
-}
-
-/// Reads a body until it ends or exceeds [`MAX_BUFFERED_BYTES`].
-async fn buffer_body(mut body: Incoming) -> Result<BufferedBody, hyper::Error> {
-    let mut bytes = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        if let Ok(data) = frame?.into_data() {
-            bytes.extend_from_slice(&data);
-        }
-        if bytes.len() > MAX_BUFFERED_BYTES && !body.is_end_stream() {
-            return Ok(BufferedBody::Partial(bytes.freeze(), body));
-        }
-    }
-    Ok(BufferedBody::Complete(bytes.freeze()))
-}
--- a/crates/vanillakeel-entry/src/gateway/relay.rs
+++ b/crates/vanillakeel-entry/src/gateway/relay.rs
@@ -15,7 +15,6 @@
     exchange::{
         self,
         Attempts,
-        Ending,
         SendFailure, //
     },
     framing::BodyFraming,
@@ -26,6 +25,10 @@
         ResumePoint, //
     },
     request::RoutedRequest,
+    response::{
+        self,
+        Ending, //
+    },
     shared::Shared,
     streams, //
 };
@@ -299,7 +302,7 @@
         let ending = self.ending(&call);
         let upstream = Arc::clone(call.upstream());
         call.finish(CallOutcome::Success);
-        exchange::log_response(
+        response::log_complete(
             &self.shared,
             &self.request,
             &upstream,
--- a/crates/vanillakeel-http/src/events.rs
+++ b/crates/vanillakeel-http/src/events.rs
@@ -19,8 +19,9 @@
 
 /// An iterator over the `data` fields of a server-sent event stream, one item per event.
 ///
-/// A line ends with CR, LF or CRLF. Several `data` lines of one event are joined by line breaks. An item is an error if reading
-/// fails, if the stream ends within an event, or if a line is longer than 1 MiB.
+/// A line ends with CR, LF or CRLF. Several `data` lines of one event are joined by line breaks. An
+/// item is an error if reading fails, if the stream ends within an event, or if a line is longer than
+/// 1 MiB.
 #[derive(Debug)]
 pub struct Events<R> {
     reader: BufReader<R>,
