refactor: what reads have shown of the newest version is part of the library

NewestRead and InForce::newest_known are now in the library, unchanged in what they decide. Ruled out: moving the whole task, which would bring the reads, their repetition and the hub with it.

--- a/crates/vanillakeel-entry/src/gateway/watch/configuration.rs
+++ b/crates/vanillakeel-entry/src/gateway/watch/configuration.rs
@@ -37,7 +37,10 @@
 };
 use vanillakeel::{
     Millis,
-    routes::Table, //
+    routes::{
+        NewestRead,
+        Table, //
+    },
 };
 
 /// Follows the routing configuration for as long as the process runs.
@@ -95,8 +98,10 @@
             Ok(page) => {
                 let next = position_after(&page);
                 let has_progress = position.replace(next) != Some(next);
-                newest.on_page(&page, apply_configuration(&shared, &log, &page, asked_at));
-                if !newest.shows(newest_known(&shared, asked_at)) {
+                let last = apply_configuration(&shared, &log, &page, asked_at);
+                newest.on_read(page.era, last);
+                let newest_known = shared.in_force.borrow().newest_known(asked_at);
+                if !newest.shows(newest_known) {
                     shared.on_read_failed(asked_at);
                 } else if page.is_up_to_date {
                     shared.confirm_newest(asked_at, &me);
@@ -111,49 +116,6 @@
     }
 }
 
-/// Returns the newest version that was in force anywhere, as far as was known at `asked_at`.
-fn newest_known(shared: &Shared, asked_at: Millis) -> u64 {
-    let in_force = shared.in_force.borrow();
-    in_force
-        .superseded_by(asked_at)
-        .unwrap_or_else(|| in_force.version())
-}
-
-/// What the log has shown of the newest configuration in its present era.
-#[derive(Debug, Default)]
-struct NewestRead {
-    era: u64,
-    /// Newest version that was read in this era, or 0 without one.
-    version: u64,
-    /// Whether the last configuration that was read could not be decoded.
-    is_unreadable: bool,
-}
-
-impl NewestRead {
-    /// Records a page with the version of its last configuration: `None` if there is none, an error if
-    /// it could not be decoded.
-    fn on_page(&mut self, page: &Page, last: Option<Result<u64, ()>>) {
-        if page.era != self.era {
-            *self = Self {
-                era: page.era,
-                ..Self::default()
-            };
-        }
-        if let Some(last) = last {
-            self.is_unreadable = last.is_err();
-            self.version = self.version.max(last.unwrap_or(0));
-        }
-    }
-
-    /// Returns whether the log shows that `version` is the newest.
-    ///
-    /// After the log came back from a copy, it may hold an older version until the operator has written
-    /// the newest one again.
-    const fn shows(&self, version: u64) -> bool {
-        !self.is_unreadable && self.version >= version
-    }
-}
-
 /// Returns whether a hub covers this instance and has recently confirmed the version in force.
 ///
 /// The age of the confirmation is the one known here: a hub may confirm another version or none.
--- a/crates/vanillakeel/src/routes.rs
+++ b/crates/vanillakeel/src/routes.rs
@@ -16,6 +16,7 @@
 //! ```
 
 mod in_force;
+mod newest_read;
 mod parts;
 mod ranks;
 
@@ -25,6 +26,7 @@
         InForce,
         Standing, //
     },
+    newest_read::NewestRead,
     parts::{
         Limits,
         Route,
--- a/crates/vanillakeel/src/routes/in_force.rs
+++ b/crates/vanillakeel/src/routes/in_force.rs
@@ -161,6 +161,14 @@
         (counts && version > self.version()).then_some(version)
     }
 
+    /// Returns the newest version that was in force anywhere, as far as was known at `at`.
+    ///
+    /// A read confirms the version in force only if it shows at least this one.
+    #[must_use]
+    pub fn newest_known(&self, at: Millis) -> u64 {
+        self.superseded_by(at).unwrap_or_else(|| self.version())
+    }
+
     /// Returns the time since the last confirmation, in ms, or `None` without one.
     #[must_use]
     pub fn confirmation_age_ms(&self, now: Millis) -> Option<u64> {
