test: schedules of a log that comes back from copies

Five instances, one of them a hub, follow a log that comes back from copies up to 8 s old, 20 times in 50 s and also while the lost versions are still to be written again; answers are delayed and lost, instances are cut off, pause and restart. A version must not go back in an instance, none may count as the newest for longer than the limit after a newer one was written, and two seconds after the last copy all instances have the newest one.

Not covered: the list of upstreams after a copy, which only tests with processes check (restored_store).

--- a/crates/vanillakeel-bench/src/faults/claims.rs
+++ b/crates/vanillakeel-bench/src/faults/claims.rs
@@ -59,6 +59,8 @@
     pub binds_streams: bool,
     /// The list is read again before a stream goes on at the only version that has served.
     pub reads_list_first: bool,
+    /// The newest version is read again when the log has come back from a copy.
+    pub follows_era: bool,
 }
 
 impl Default for Guards {
@@ -69,6 +71,7 @@
             lease_expires: true,
             binds_streams: true,
             reads_list_first: true,
+            follows_era: true,
         }
     }
 }
--- a/crates/vanillakeel-bench/src/faults/command.rs
+++ b/crates/vanillakeel-bench/src/faults/command.rs
@@ -5,6 +5,7 @@
     claims,
     configs,
     leases,
+    restored_log,
     streams, //
 };
 use clap::{
@@ -18,11 +19,11 @@
 
 /// Faults found over all schedules.
 ///
-/// The counts `runs`, `versions`, `orders`, `holders`, `streams`, `continued_streams` and
-/// `unknown_streams` are not faults; they show that the schedules did exercise the library.
+/// The counts `runs`, `versions`, `orders`, `holders`, `streams`, `continued_streams`,
+/// `unknown_streams` and `restored` are not faults; they show that the schedules did exercise the library.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct Totals {
-    /// Number of schedules; each covers claims, configurations, leases and streams.
+    /// Number of schedules; each covers all parts.
     pub schedules: u64,
     /// Idempotency keys whose requests ran more than once.
     pub doubled: u64,
@@ -37,6 +38,11 @@
     pub stale_orders_accepted: u64,
     /// Streams that went on at another software version than the one that began them.
     pub mixed_streams: u64,
+    /// Times that an instance took a version for the newest although a newer one had been on the log for
+    /// longer than the limit.
+    pub outdated: u64,
+    /// Instances without the newest version two seconds after the log came back for the last time.
+    pub left_behind: u64,
     /// Runs of requests with an idempotency key.
     pub runs: u64,
     /// Configuration versions that came into force.
@@ -51,6 +57,8 @@
     pub continued_streams: u64,
     /// Times that a caller took up a stream whose version could not be found.
     pub unknown_streams: u64,
+    /// Times that the log came back from a copy.
+    pub restored: u64,
     /// The first seed whose schedule showed a fault.
     pub failing_seed: Option<u64>,
 }
@@ -65,6 +73,8 @@
             && self.diverged == 0
             && self.stale_orders_accepted == 0
             && self.mixed_streams == 0
+            && self.outdated == 0
+            && self.left_behind == 0
     }
 }
 
@@ -76,12 +86,16 @@
         let claims = claims::run(seed, steps, guards);
         let configs = configs::run(seed, steps, guards);
         let leases = leases::run(seed, steps, guards);
+        let restored_log = restored_log::run(seed, steps, guards);
         let streams = streams::run(seed, steps, guards);
         totals.schedules += 1;
         totals.doubled += claims.doubled;
         totals.false_not_run += claims.false_not_run;
         totals.runs += claims.runs;
-        totals.reverted += configs.reverted;
+        totals.reverted += configs.reverted + restored_log.reverted;
+        totals.outdated += restored_log.outdated;
+        totals.left_behind += restored_log.left_behind;
+        totals.restored += restored_log.restored;
         totals.diverged += configs.diverged;
         totals.versions += configs.versions;
         totals.stale_orders_accepted += leases.stale_commands_accepted;
@@ -110,7 +124,7 @@
 /// Returns the definition of the command's arguments.
 pub(crate) fn command() -> Command {
     Command::new("faults")
-        .about("Run random schedules of faults against claims, configurations, leases and streams")
+        .about("Run random schedules of faults against the parts of the library")
         .arg(number_arg("seed", "1", "First seed"))
         .arg(number_arg("schedules", "1000", "Number of schedules"))
         .arg(number_arg("steps", "1000", "Steps of a schedule"))
--- /dev/null
+++ b/crates/vanillakeel-bench/src/faults/restored_log.rs
@@ -0,0 +1,447 @@
+//! Schedules that check versions of the routing configuration on a log that comes back from copies.
+//!
+//! An operator writes versions. The log is away for a moment and comes back from a copy that is some
+//! seconds old, also several times in a row; it gives offsets out again, and the operator writes what is
+//! lost again, at once or late. Instances read the log over a network that delays and loses answers, hear
+//! of versions from each other and take confirmations from a hub; they are cut off, pause and restart.
+//!
+//! The version of an instance never goes back, none counts as the newest although a newer one has been
+//! on the log for longer than the limit, and all instances have the newest one soon after the faults.
+
+use super::Guards;
+use vanillakeel::{
+    Millis,
+    order::Random,
+    routes::{
+        Freshness,
+        InForce,
+        NewestRead,
+        Standing,
+        Table,
+        TableSpec, //
+    },
+};
+
+/// Number of instances; the first one is the hub of the others.
+const INSTANCES: usize = 5;
+
+/// Longest time between two steps, in ms.
+const MAX_STEP_MS: u64 = 100;
+
+/// Largest age of a copy from which the log comes back, in ms.
+const MAX_COPY_AGE_MS: u64 = 8_000;
+
+/// Longest time for which the log is away before it comes back from a copy, in ms.
+const MAX_AWAY_MS: u64 = 1_500;
+
+/// Longest time after which the operator writes a lost version again, in ms.
+const MAX_REWRITE_MS: u64 = 4_000;
+
+/// Longest time that a question or an answer is on its way, in ms.
+const MAX_DELAY_MS: u64 = 300;
+
+/// Time after which a read without an answer has failed, in ms.
+const READ_LIMIT_MS: u64 = 700;
+
+/// Answers that are lost, of 100.
+const LOST_PERCENT: u64 = 10;
+
+/// Largest age of a hub's confirmation at which the hub counts as fresh, in ms.
+const HUB_CONFIRMATION_MS: u64 = 1_200;
+
+/// Time after the faults in which all instances have to confirm the newest version, in ms.
+const RECOVERY_MS: u64 = 2_000;
+
+/// A version on the log.
+#[derive(Clone, Copy, Debug)]
+struct Record {
+    version: u64,
+    written_at: Millis,
+}
+
+/// The log of the configuration; the offset of a record is its index.
+#[derive(Debug, Default)]
+struct Log {
+    era: u64,
+    records: Vec<Record>,
+    away_until: Millis,
+}
+
+/// A place on the log, from which an instance reads on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Position {
+    era: u64,
+    offset: usize,
+}
+
+/// The answer to a read: the versions, and the position after them.
+#[derive(Debug)]
+struct Page {
+    versions: Vec<u64>,
+    next: Position,
+}
+
+impl Log {
+    /// Reads on from a position, or reads the newest version without one; returns `None` if the log does
+    /// not have the position.
+    fn read(&self, from: Option<Position>) -> Option<Page> {
+        let newest = self.records.len().saturating_sub(1);
+        let records = self.records.get(from.map_or(newest, |p| p.offset)..)?;
+        Some(Page {
+            versions: records.iter().map(|r| r.version).collect(),
+            next: Position {
+                era: self.era,
+                offset: self.records.len(),
+            },
+        })
+    }
+
+    /// Returns whether a version newer than `version` has been on the log for longer than `limit_ms`.
+    fn has_newer(&self, now: Millis, version: u64, limit_ms: u64) -> bool {
+        let mut newer = self.records.iter().filter(|r| r.version > version);
+        newer.any(|r| now.since(r.written_at) > limit_ms)
+    }
+}
+
+/// A read that an instance waits for.
+#[derive(Debug)]
+struct Read {
+    asked_at: Millis,
+    from: Option<Position>,
+    /// Time at which the log answers.
+    served_at: Millis,
+    /// Time at which the answer arrives, and the answer, once the log has given it.
+    answer: Option<(Millis, Option<Page>)>,
+    is_lost: bool,
+}
+
+/// A simulated instance.
+#[derive(Default)]
+struct Instance {
+    in_force: InForce,
+    newest: NewestRead,
+    /// Latest era that the log has shown.
+    era: Option<u64>,
+    position: Option<Position>,
+    read: Option<Read>,
+    /// Highest version that the instance has had since its start.
+    highest_version: u64,
+    is_disconnected: bool,
+    is_paused: bool,
+    starts: u64,
+}
+
+/// The answer of the hub to a member's report.
+struct Summary {
+    to: usize,
+    /// Number of starts of the member when it sent the report.
+    starts: u64,
+    arrives_at: Millis,
+    version: u64,
+    era: u64,
+    /// Time at the member before which the hub has confirmed its version; `None` if it is not fresh.
+    confirmed_at: Option<Millis>,
+}
+
+/// Faults found in a schedule, and how often the log came back from a copy.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct ScheduleCounts {
+    pub(super) reverted: u64,
+    /// Times that an instance took an outdated version for the newest.
+    pub(super) outdated: u64,
+    /// Instances without the newest version after the faults.
+    pub(super) left_behind: u64,
+    pub(super) restored: u64,
+}
+
+/// State of a schedule.
+struct Simulation {
+    random: Random,
+    guards: Guards,
+    now: Millis,
+    /// Whether the faults have ended.
+    is_recovering: bool,
+    log: Log,
+    /// Versions that the log has lost, with the time at which the operator writes them again.
+    lost: Vec<(u64, Millis)>,
+    last_version: u64,
+    instances: Vec<Instance>,
+    summaries: Vec<Summary>,
+    counts: ScheduleCounts,
+}
+
+/// Runs a schedule of `steps` steps and returns its counts.
+pub(super) fn run(seed: u64, steps: u64, guards: Guards) -> ScheduleCounts {
+    let mut simulation = Simulation {
+        random: Random::new(seed),
+        guards,
+        now: Millis::ZERO,
+        is_recovering: false,
+        log: Log::default(),
+        lost: Vec::new(),
+        last_version: 0,
+        instances: (0..INSTANCES).map(|_| Instance::default()).collect(),
+        summaries: Vec::new(),
+        counts: ScheduleCounts::default(),
+    };
+    simulation.write_version();
+    for _ in 0..steps {
+        simulation.inject();
+        simulation.advance();
+    }
+    simulation.recover();
+    simulation.counts
+}
+
+impl Simulation {
+    /// Injects a random fault, writes a version or sends a message.
+    fn inject(&mut self) {
+        let index = self.random.below(INSTANCES as u64) as usize;
+        match self.random.below(100) {
+            0..6 => self.write_version(),
+            6..8 => self.restore(),
+            8..12 => self.instances[index].is_disconnected ^= true,
+            12..14 => self.instances[index].is_paused ^= true,
+            14..16 => {
+                self.instances[index] = Instance {
+                    starts: self.instances[index].starts + 1,
+                    ..Instance::default()
+                }
+            }
+            16..19 => self.heal(),
+            19..50 => self.announce(index),
+            _ => self.send_summary(index),
+        }
+    }
+
+    fn heal(&mut self) {
+        for instance in &mut self.instances {
+            instance.is_disconnected = false;
+            instance.is_paused = false;
+        }
+    }
+
+    fn is_away(&self) -> bool {
+        self.now < self.log.away_until
+    }
+
+    /// Writes a new version, unless the log is away.
+    fn write_version(&mut self) {
+        if self.is_away() {
+            return;
+        }
+        self.last_version += 1;
+        self.log.records.push(Record {
+            version: self.last_version,
+            written_at: self.now,
+        });
+    }
+
+    /// Lets the log come back from a copy; the operator notices what is missing.
+    fn restore(&mut self) {
+        let copied_at = self.now.minus(self.random.below(MAX_COPY_AGE_MS));
+        self.log.era += 1;
+        self.log.away_until = self.now.plus(self.random.below(MAX_AWAY_MS));
+        self.counts.restored += 1;
+        let (kept, lost) = self
+            .log
+            .records
+            .iter()
+            .partition::<Vec<_>, _>(|r| r.written_at <= copied_at);
+        self.log.records = kept;
+        let rewritten_at = self.log.away_until.plus(self.random.below(MAX_REWRITE_MS));
+        self.lost
+            .extend(lost.iter().map(|r| (r.version, rewritten_at)));
+        self.lost.sort_unstable();
+    }
+
+    /// Writes the lost versions that are due again, in their order.
+    fn rewrite_lost(&mut self) {
+        while !self.is_away()
+            && let Some((version, due)) = self.lost.first().copied()
+            && due <= self.now
+        {
+            self.lost.remove(0);
+            let newest = self.log.records.last().map_or(0, |r| r.version);
+            // A version that was written meanwhile replaces those before it.
+            if version > newest {
+                self.log.records.push(Record {
+                    version,
+                    written_at: self.now,
+                });
+            }
+        }
+    }
+
+    /// Tells a random instance which version another one has.
+    fn announce(&mut self, from: usize) {
+        let to = self.random.below(INSTANCES as u64) as usize;
+        let version = self.instances[from].in_force.version();
+        if to != from && !self.instances[from].is_paused && !self.instances[to].is_paused {
+            self.instances[to].in_force.on_announced(self.now, version);
+        }
+    }
+
+    /// Lets the hub answer a report of a member that was sent a moment ago.
+    fn send_summary(&mut self, to: usize) {
+        let hub = &self.instances[0];
+        if to == 0 || hub.is_paused {
+            return;
+        }
+        let sent_at = self.now.minus(self.random.below(MAX_DELAY_MS));
+        let arrives_at = self.now.plus(self.random.below(MAX_DELAY_MS));
+        let age_ms = hub.in_force.confirmation_age_ms(self.now);
+        let is_fresh = |age: &u64| *age < HUB_CONFIRMATION_MS && !hub.in_force.has_failed_read();
+        self.summaries.push(Summary {
+            to,
+            starts: self.instances[to].starts,
+            arrives_at,
+            version: hub.in_force.version(),
+            era: hub.era.unwrap_or(0),
+            confirmed_at: age_ms
+                .filter(is_fresh)
+                .and_then(|age| sent_at.checked_minus(age)),
+        });
+    }
+
+    /// Advances the time and lets everything happen that is due.
+    fn advance(&mut self) {
+        self.now = self.now.plus(self.random.below(MAX_STEP_MS));
+        self.rewrite_lost();
+        let now = self.now;
+        let (due, later) = std::mem::take(&mut self.summaries)
+            .into_iter()
+            .partition(|s| s.arrives_at <= now);
+        self.summaries = later;
+        for summary in due {
+            self.on_summary(&summary);
+        }
+        for index in 0..INSTANCES {
+            if !self.instances[index].is_paused {
+                self.follow(index);
+            }
+        }
+        self.check();
+    }
+
+    fn on_summary(&mut self, summary: &Summary) {
+        let now = self.now;
+        let instance = &mut self.instances[summary.to];
+        if instance.is_paused || instance.starts != summary.starts {
+            return;
+        }
+        instance.in_force.on_announced(now, summary.version);
+        let is_fresh = summary.era >= instance.era.unwrap_or(0);
+        let is_same = instance.in_force.version() == summary.version;
+        if let Some(confirmed_at) = summary.confirmed_at
+            && is_fresh
+            && is_same
+        {
+            instance.in_force.confirm_newest(confirmed_at);
+        }
+    }
+
+    /// Lets an instance go on with its read of the log, or begin one.
+    fn follow(&mut self, index: usize) {
+        let (now, is_away) = (self.now, self.is_away());
+        let is_lost = !self.is_recovering && self.random.below(100) < LOST_PERCENT;
+        let delays = [MAX_DELAY_MS, MAX_DELAY_MS].map(|max| self.random.below(max));
+        let instance = &mut self.instances[index];
+        let Some(mut read) = instance.read.take() else {
+            instance.read = Some(Read {
+                asked_at: now,
+                from: instance.position,
+                served_at: now.plus(delays[0]),
+                answer: None,
+                is_lost,
+            });
+            return;
+        };
+        if read.answer.is_none() && read.served_at <= now {
+            if !is_away {
+                let page = self.log.read(read.from);
+                read.answer = Some((now.plus(delays[1]), page));
+            }
+            read.is_lost |= is_away;
+        }
+        let is_received = !read.is_lost && !instance.is_disconnected;
+        if let Some((_, page)) = read.answer.take_if(|(at, _)| is_received && *at <= now) {
+            instance.on_answer(read.asked_at, page, self.guards);
+        } else if now.since(read.asked_at) >= READ_LIMIT_MS {
+            instance.in_force.on_read_failed(read.asked_at, now);
+        } else {
+            instance.read = Some(read);
+        }
+    }
+
+    /// Counts the faults that show now.
+    fn check(&mut self) {
+        let limit_ms = Freshness::default().version_ms;
+        for instance in &mut self.instances {
+            let version = instance.in_force.version();
+            self.counts.reverted += u64::from(version < instance.highest_version);
+            instance.highest_version = instance.highest_version.max(version);
+            let is_trusted = instance.in_force.standing(self.now) == Standing::Confirmed;
+            let is_outdated = self.log.has_newer(self.now, version, limit_ms);
+            self.counts.outdated += u64::from(!instance.is_paused && is_trusted && is_outdated);
+        }
+    }
+
+    /// Ends all faults and counts the instances that have not confirmed the newest version in time.
+    fn recover(&mut self) {
+        self.heal();
+        self.is_recovering = true;
+        while self.is_away() || !self.lost.is_empty() {
+            self.advance();
+        }
+        let recovered_at = self.now.plus(RECOVERY_MS);
+        while self.now < recovered_at {
+            self.advance();
+        }
+        let newest = self.log.records.last().map_or(0, |r| r.version);
+        let has_newest = |instance: &&Instance| {
+            let in_force = &instance.in_force;
+            in_force.version() == newest && in_force.standing(self.now) == Standing::Confirmed
+        };
+        let behind = self.instances.iter().filter(|i| !has_newest(i)).count();
+        self.counts.left_behind += behind as u64;
+    }
+}
+
+impl Instance {
+    /// Handles an answer of the log, which has no page if the log does not have the position.
+    fn on_answer(&mut self, asked_at: Millis, page: Option<Page>, guards: Guards) {
+        let Some(page) = page else {
+            self.position = None;
+            return;
+        };
+        if guards.follows_era && !self.is_of_present_era(&page) {
+            self.position = None;
+            return;
+        }
+        self.position = Some(page.next);
+        for version in &page.versions {
+            self.in_force.install(Table::new(TableSpec {
+                version: *version,
+                ..TableSpec::default()
+            }));
+        }
+        let last = page.versions.last().map(|version| Ok(*version));
+        let era = if guards.follows_era { page.next.era } else { 0 };
+        self.newest.on_read(era, last);
+        if self.newest.shows(self.in_force.newest_known(asked_at)) {
+            self.in_force.confirm_newest(asked_at);
+        } else {
+            self.in_force.on_read_failed(asked_at, asked_at);
+        }
+    }
+
+    /// Records the era of a page; returns whether the page, and the position that it was read from, are of
+    /// the present one.
+    fn is_of_present_era(&mut self, page: &Page) -> bool {
+        let era = page.next.era;
+        let is_present = self.era <= Some(era);
+        self.era = self.era.max(Some(era));
+        is_present && self.position.is_none_or(|p| p.era == era)
+    }
+}
--- a/crates/vanillakeel-bench/tests/random_schedules.rs
+++ b/crates/vanillakeel-bench/tests/random_schedules.rs
@@ -22,6 +22,7 @@
     assert!(totals.versions > SCHEDULES, "{totals:?}");
     assert!(totals.holders > SCHEDULES, "{totals:?}");
     assert!(totals.continued_streams > SCHEDULES, "{totals:?}");
+    assert!(totals.restored > SCHEDULES, "{totals:?}");
 }
 
 /// Guards against checks that miss a fault: with a safeguard of the library turned off, the checks
@@ -32,6 +33,8 @@
 #[case::lease(Guards { lease_expires: false, ..Guards::default() }, |t: &Totals| t.stale_orders_accepted)]
 #[case::streams(Guards { binds_streams: false, ..Guards::default() }, |t: &Totals| t.mixed_streams)]
 #[case::old_list(Guards { reads_list_first: false, ..Guards::default() }, |t: &Totals| t.mixed_streams)]
+#[case::era_behind(Guards { follows_era: false, ..Guards::default() }, |t: &Totals| t.left_behind)]
+#[case::era_outdated(Guards { follows_era: false, ..Guards::default() }, |t: &Totals| t.outdated)]
 fn missing_guard_found(#[case] guards: Guards, #[case] count: fn(&Totals) -> u64) {
     let totals = run_schedules(SEED, SCHEDULES, STEPS, guards);
     assert!(count(&totals) > 0, "{totals:?}");
