--- a/crates/vanillakeel-entry/src/gateway/shared.rs
+++ b/crates/vanillakeel-entry/src/gateway/shared.rs
@@ -43,7 +43,8 @@
     fleet::{
         self,
         Fleet,
-        ListedUpstream, //
+        ListedUpstream,
+        RemovedUpstreams, //
     },
     mesh::{
         self,
@@ -79,10 +80,6 @@
 /// the log, for example after a pause of the process.
 const MAX_UNCONFIRMED_WAIT_MS: u64 = 100;
 
-/// Time for which removed upstreams are remembered, in ms: longer than a copy from which the log comes
-/// back is old.
-const REMOVAL_REMEMBERED_MS: u64 = 60_000;
-
 /// Time for which software versions that have served are remembered, in ms: longer than a stream lives.
 const VERSION_REMEMBERED_MS: u64 = 600_000;
 
@@ -148,8 +145,8 @@
     log_era: Cell<Option<u64>>,
     /// Wakes the tasks that read or write the log when its era has risen.
     pub(super) era_risen: Notify,
-    /// Upstreams that were removed recently, with their incarnation and the time of the removal.
-    removed_upstreams: RefCell<Vec<(Arc<str>, u64, Millis)>>,
+    /// Upstreams that were removed recently.
+    removed_upstreams: RefCell<RemovedUpstreams>,
     /// Wakes the task that reads the configuration when another instance has announced a newer version.
     pub(super) newer_version: Notify,
     /// Time at which a stop was requested.
@@ -334,12 +331,7 @@
     /// Returns whether an upstream was removed a short time ago, so that an entry of an earlier copy of
     /// the log is out of date.
     pub(super) fn was_removed(&self, listed: &ListedUpstream) -> bool {
-        self.removed_upstreams
-            .borrow()
-            .iter()
-            .any(|(name, incarnation, _)| {
-                *name == listed.name && *incarnation == listed.incarnation
-            })
+        self.removed_upstreams.borrow().contains(listed)
     }
 
     /// Records that the configuration could not be read on a new connection.
@@ -447,10 +439,7 @@
             self.fleet.borrow_mut().on_removed(name);
             tracing::info!(upstream = name, "upstream gone");
             let now = self.clock.now();
-            let mut removed = self.removed_upstreams.borrow_mut();
-            removed.retain(|(_, _, at)| now.since(*at) < REMOVAL_REMEMBERED_MS);
-            removed.push((Arc::clone(&listed.name), listed.incarnation, now));
-            drop(removed);
+            self.removed_upstreams.borrow_mut().on_removed(now, &listed);
             self.record_change(listed, true);
         }
     }
--- a/crates/vanillakeel-entry/src/gateway/watch/upstreams.rs
+++ b/crates/vanillakeel-entry/src/gateway/watch/upstreams.rs
@@ -29,11 +29,13 @@
 };
 use std::{
     rc::Rc,
-    sync::Arc,
     time::Duration, //
 };
 use tokio::time::sleep;
-use vanillakeel::Millis;
+use vanillakeel::{
+    Millis,
+    fleet::MissingUpstreams, //
+};
 
 /// Time for which the upstreams known to the hub may differ from those known here before the log is
 /// read, in ms.
@@ -43,13 +45,6 @@
 /// read and the time for which the views may differ.
 const MAX_HUB_VIEW_AGE_MS: u64 = MAX_READ_AGE_MS + MAX_HUB_DIFFERENCE_MS;
 
-/// Largest fraction of the known upstreams that is treated as removed if it is missing at once after
-/// an outage of the log.
-///
-/// A release or a crash removes fewer upstreams. If more are missing, their entries have probably
-/// expired because they could not be renewed during the outage.
-const MAX_REMOVED_FRACTION: f64 = 0.25;
-
 /// Follows the list of upstreams for as long as the process runs.
 pub(in super::super) async fn follow_upstreams(shared: Rc<Shared>, log: LogAdapter) {
     let mut list = UpstreamList::default();
@@ -136,16 +131,18 @@
         let timing = shared.settings.borrow().timing;
         let relisted_at = now.plus(timing.relisted_ms);
         if self.status.was_lost {
-            self.missing.hold_until = relisted_at;
+            self.missing.on_outage_over(relisted_at);
             self.status.was_lost = false;
         }
         let is_list = self.position.is_none();
         let previous_era = self.listed_era.replace(page.era);
+        let names: Vec<&str> = page.entries.iter().map(|e| &*e.key).collect();
         if previous_era.is_some_and(|era| era != page.era) {
-            self.missing.add_missing_in_copy(shared, page, relisted_at);
+            let fleet = shared.fleet.borrow();
+            self.missing.on_copy(&fleet, &names, relisted_at);
             self.outdated = outdated_entries(shared, log, page);
         } else if is_list {
-            self.missing.add_unlisted(shared, page);
+            self.missing.on_list(&shared.fleet.borrow(), &names);
         }
         let next = position_after(page);
         let has_progress = self.position.replace(next) != Some(next);
@@ -157,7 +154,10 @@
             // Upstreams that the same page lists and removes count as seen.
             shared.on_upstreams_seen(asked_at);
         }
-        self.missing.remove_due(shared, now);
+        let due = self.missing.take_due(now, &shared.fleet.borrow());
+        for name in due {
+            shared.on_removed(&name);
+        }
         match (page.is_up_to_date, has_progress) {
             (true, _) => timing.discovery_every_ms,
             (false, true) => 0,
@@ -196,12 +196,12 @@
     let mut has_changed = false;
     for entry in page.entries.iter().filter(|e| !skipped.contains(e)) {
         let Some(value) = &entry.value else {
-            missing.add(&entry.key);
+            missing.on_deleted(&entry.key);
             continue;
         };
         match (log.decode_upstream)(&entry.key, value) {
             Ok(listed) => {
-                missing.remove(&entry.key);
+                missing.on_listed(&entry.key);
                 has_changed |= shared.on_listed(&listed);
             }
             Err(e) => {
@@ -233,88 +233,3 @@
     let count = i64::try_from(fleet.iter().count()).unwrap_or(i64::MAX);
     shared.metrics.upstreams.set(count);
 }
-
-/// Upstreams whose entries have disappeared from the log.
-///
-/// After an outage of the log, the entries of live upstreams may have expired. If many are missing
-/// at once, they are kept until live upstreams have had time to be listed again. If few are missing,
-/// they count as removed.
-#[derive(Debug, Default)]
-struct MissingUpstreams {
-    names: Vec<Arc<str>>,
-    /// Time by which live upstreams should be listed again after an outage of the log.
-    hold_until: Millis,
-    /// Whether many upstreams have been missing at once since the outage; none is removed then.
-    are_many_missing: bool,
-    /// Upstreams that are missing in the copy from which the log came back. Their entries may have been
-    /// lost, so they count as removed only after [`Self::lost_until`].
-    lost: Vec<Arc<str>>,
-    lost_until: Millis,
-}
-
-impl MissingUpstreams {
-    fn add(&mut self, name: &str) {
-        if let Err(at) = self.names.binary_search_by(|n| (**n).cmp(name)) {
-            self.names.insert(at, Arc::from(name));
-        }
-    }
-
-    fn remove(&mut self, name: &str) {
-        if let Ok(at) = self.names.binary_search_by(|n| (**n).cmp(name)) {
-            self.names.remove(at);
-        }
-        self.lost.retain(|n| **n != *name);
-    }
-
-    /// Adds all known upstreams that a complete list does not contain.
-    fn add_unlisted(&mut self, shared: &Shared, page: &Page) {
-        for name in unlisted(shared, page) {
-            self.add(&name);
-        }
-    }
-
-    /// Adds all known upstreams that an earlier copy of the list does not contain; they are kept until
-    /// `until`, so that they can write their entries again.
-    fn add_missing_in_copy(&mut self, shared: &Shared, page: &Page, until: Millis) {
-        self.lost = unlisted(shared, page);
-        self.lost_until = until;
-    }
-
-    /// Removes the missing upstreams from the fleet, unless many are missing after an outage of the
-    /// log and may still be listed again.
-    fn remove_due(&mut self, shared: &Shared, now: Millis) {
-        if now >= self.lost_until {
-            for name in std::mem::take(&mut self.lost) {
-                self.add(&name);
-            }
-        }
-        let known_count = {
-            let fleet = shared.fleet.borrow();
-            self.names
-                .retain(|name| fleet.iter().any(|u| u.name == *name));
-            fleet.iter().count()
-        };
-        let is_many = self.names.len() as f64 > known_count as f64 * MAX_REMOVED_FRACTION;
-        let is_waiting = now < self.hold_until;
-        self.are_many_missing = is_waiting && (self.are_many_missing || is_many);
-        if self.are_many_missing {
-            return;
-        }
-        for name in self.names.drain(..) {
-            shared.on_removed(&name);
-        }
-    }
-}
-
-/// Returns the known upstreams that a complete list does not contain.
-fn unlisted(shared: &Shared, page: &Page) -> Vec<Arc<str>> {
-    let mut listed: Vec<&str> = page.entries.iter().map(|e| &*e.key).collect();
-    listed.sort_unstable();
-    let fleet = shared.fleet.borrow();
-    let is_unlisted = |name: &Arc<str>| listed.binary_search(&&**name).is_err();
-    fleet
-        .iter()
-        .map(|u| Arc::clone(&u.name))
-        .filter(is_unlisted)
-        .collect()
-}
--- a/crates/vanillakeel/src/fleet.rs
+++ b/crates/vanillakeel/src/fleet.rs
@@ -25,7 +25,9 @@
 mod cached;
 pub mod choose;
 pub mod groups;
+mod missing;
 mod notices;
+mod removed;
 mod request;
 mod state;
 mod targets;
@@ -33,7 +35,9 @@
 
 pub(crate) use self::upstream::RANK_COUNT;
 pub use self::{
+    missing::MissingUpstreams,
     notices::CacheNotice,
+    removed::RemovedUpstreams,
     request::{
         CacheSource,
         Pick,
