fix: an old answer removes no upstream that has been listed again since

After the log came back from a copy, upstreams that the copy lacks are kept until they had the time to write their entries again. Whether that time is over was decided by the present when an answer is applied, not by when its read was sent. A process that is paused meanwhile takes an answer from before that time for one from after it, and removes upstreams that serve. The same holds for entries that expire in an outage. The class is that of the late version: evidence is dated wrongly.

Ruled out: the era (the answer is of the present one); the time itself, which is long enough.

--- a/crates/vanillakeel-entry/src/gateway/watch/upstreams.rs
+++ b/crates/vanillakeel-entry/src/gateway/watch/upstreams.rs
@@ -154,7 +154,7 @@
             // Upstreams that the same page lists and removes count as seen.
             shared.on_upstreams_seen(asked_at);
         }
-        let due = self.missing.take_due(now, &shared.fleet.borrow());
+        let due = self.missing.take_due(asked_at, &shared.fleet.borrow());
         for name in due {
             shared.on_removed(&name);
         }
--- a/crates/vanillakeel/src/fleet/missing.rs
+++ b/crates/vanillakeel/src/fleet/missing.rs
@@ -68,10 +68,14 @@
         self.lost_until = until;
     }
 
-    /// Returns the missing upstreams that are to be removed from the fleet now, and forgets them.
+    /// Returns the missing upstreams that are to be removed from the fleet after a read that was sent at
+    /// `asked_at`, and forgets them.
+    ///
+    /// What counts is not the present: the process may have been paused, and the read shows nothing of
+    /// what was listed meanwhile.
     #[must_use]
-    pub fn take_due(&mut self, now: Millis, fleet: &Fleet) -> Vec<Arc<str>> {
-        if now >= self.lost_until {
+    pub fn take_due(&mut self, asked_at: Millis, fleet: &Fleet) -> Vec<Arc<str>> {
+        if asked_at >= self.lost_until {
             for name in std::mem::take(&mut self.lost) {
                 self.on_deleted(&name);
             }
@@ -80,7 +84,7 @@
             .retain(|name| fleet.iter().any(|u| u.name == *name));
         let known_count = fleet.iter().count();
         let is_many = self.names.len() as f64 > known_count as f64 * MAX_REMOVED_FRACTION;
-        let is_waiting = now < self.hold_until;
+        let is_waiting = asked_at < self.hold_until;
         self.are_many_missing = is_waiting && (self.are_many_missing || is_many);
         if self.are_many_missing {
             return Vec::new();
