test: schedules of the list of upstreams on a log that comes back from copies

Four instances follow twelve upstreams that leave and start again, on a log that comes back from copies 20 times in 50 s; answers are delayed and lost, instances are cut off, pause and restart. No instance removes an upstream that serves, takes back one that it has removed, lacks one two seconds after the last copy, or keeps one that is no longer listed. The simulated log and its readers are shared with the schedules of the configuration.

Not covered: changes that a hub hands on, which only the soaks with processes check.

--- a/crates/vanillakeel-bench/src/faults/claims.rs
+++ b/crates/vanillakeel-bench/src/faults/claims.rs
@@ -61,6 +61,8 @@
     pub reads_list_first: bool,
     /// The newest version is read again when the log has come back from a copy.
     pub follows_era: bool,
+    /// An answer counts from the time at which its read was sent.
+    pub dates_reads: bool,
 }
 
 impl Default for Guards {
@@ -72,6 +74,7 @@
             binds_streams: true,
             reads_list_first: true,
             follows_era: true,
+            dates_reads: true,
         }
     }
 }
--- a/crates/vanillakeel-bench/src/faults/command.rs
+++ b/crates/vanillakeel-bench/src/faults/command.rs
@@ -5,6 +5,7 @@
     claims,
     configs,
     leases,
+    restored_list,
     restored_log,
     streams, //
 };
@@ -43,6 +44,15 @@
     pub outdated: u64,
     /// Instances without the newest version two seconds after the log came back for the last time.
     pub left_behind: u64,
+    /// Times that an instance removed an upstream that served.
+    pub wrongly_removed: u64,
+    /// Times that an instance took back an upstream that it had removed.
+    pub returned: u64,
+    /// Upstreams that an instance did not know two seconds after the last of them had written its entry
+    /// again.
+    pub unknown_upstreams: u64,
+    /// Upstreams that an instance still knew some seconds later although they were no longer listed.
+    pub kept_upstreams: u64,
     /// Runs of requests with an idempotency key.
     pub runs: u64,
     /// Configuration versions that came into force.
@@ -75,6 +85,10 @@
             && self.mixed_streams == 0
             && self.outdated == 0
             && self.left_behind == 0
+            && self.wrongly_removed == 0
+            && self.returned == 0
+            && self.unknown_upstreams == 0
+            && self.kept_upstreams == 0
     }
 }
 
@@ -86,6 +100,7 @@
         let claims = claims::run(seed, steps, guards);
         let configs = configs::run(seed, steps, guards);
         let leases = leases::run(seed, steps, guards);
+        let restored_list = restored_list::run(seed, steps, guards);
         let restored_log = restored_log::run(seed, steps, guards);
         let streams = streams::run(seed, steps, guards);
         totals.schedules += 1;
@@ -95,7 +110,11 @@
         totals.reverted += configs.reverted + restored_log.reverted;
         totals.outdated += restored_log.outdated;
         totals.left_behind += restored_log.left_behind;
-        totals.restored += restored_log.restored;
+        totals.wrongly_removed += restored_list.wrongly_removed;
+        totals.returned += restored_list.returned;
+        totals.unknown_upstreams += restored_list.unknown;
+        totals.kept_upstreams += restored_list.kept;
+        totals.restored += restored_log.restored + restored_list.restored;
         totals.diverged += configs.diverged;
         totals.versions += configs.versions;
         totals.stale_orders_accepted += leases.stale_commands_accepted;
--- a/crates/vanillakeel-bench/src/faults/restored_log.rs
+++ b/crates/vanillakeel-bench/src/faults/restored_log.rs
@@ -1,14 +1,23 @@
 //! Schedules that check versions of the routing configuration on a log that comes back from copies.
 //!
-//! An operator writes versions. The log is away for a moment and comes back from a copy that is some
-//! seconds old, also several times in a row; it gives offsets out again, and the operator writes what is
-//! lost again, at once or late. Instances read the log over a network that delays and loses answers, hear
-//! of versions from each other and take confirmations from a hub; they are cut off, pause and restart.
+//! An operator writes versions. The log comes back from copies, also several times in a row, gives offsets
+//! out again, and the operator writes what is lost again, at once or late. Instances read the log, hear of
+//! versions from each other and take confirmations from a hub; they are cut off, pause and restart.
 //!
 //! The version of an instance never goes back, none counts as the newest although a newer one has been
 //! on the log for longer than the limit, and all instances have the newest one soon after the faults.
 
-use super::Guards;
+use super::{
+    Guards,
+    copied_log::{
+        CopiedLog,
+        Link,
+        Outcome,
+        Page,
+        Position,
+        Reader, //
+    },
+};
 use vanillakeel::{
     Millis,
     order::Random,
@@ -28,93 +37,18 @@
 /// Longest time between two steps, in ms.
 const MAX_STEP_MS: u64 = 100;
 
-/// Largest age of a copy from which the log comes back, in ms.
-const MAX_COPY_AGE_MS: u64 = 8_000;
-
-/// Longest time for which the log is away before it comes back from a copy, in ms.
-const MAX_AWAY_MS: u64 = 1_500;
-
 /// Longest time after which the operator writes a lost version again, in ms.
 const MAX_REWRITE_MS: u64 = 4_000;
 
-/// Longest time that a question or an answer is on its way, in ms.
+/// Longest time that a report to the hub or its answer is on its way, in ms.
 const MAX_DELAY_MS: u64 = 300;
 
-/// Time after which a read without an answer has failed, in ms.
-const READ_LIMIT_MS: u64 = 700;
-
-/// Answers that are lost, of 100.
-const LOST_PERCENT: u64 = 10;
-
 /// Largest age of a hub's confirmation at which the hub counts as fresh, in ms.
 const HUB_CONFIRMATION_MS: u64 = 1_200;
 
 /// Time after the faults in which all instances have to confirm the newest version, in ms.
 const RECOVERY_MS: u64 = 2_000;
 
-/// A version on the log.
-#[derive(Clone, Copy, Debug)]
-struct Record {
-    version: u64,
-    written_at: Millis,
-}
-
-/// The log of the configuration; the offset of a record is its index.
-#[derive(Debug, Default)]
-struct Log {
-    era: u64,
-    records: Vec<Record>,
-    away_until: Millis,
-}
-
-/// A place on the log, from which an instance reads on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Position {
-    era: u64,
-    offset: usize,
-}
-
-/// The answer to a read: the versions, and the position after them.
-#[derive(Debug)]
-struct Page {
-    versions: Vec<u64>,
-    next: Position,
-}
-
-impl Log {
-    /// Reads on from a position, or reads the newest version without one; returns `None` if the log does
-    /// not have the position.
-    fn read(&self, from: Option<Position>) -> Option<Page> {
-        let newest = self.records.len().saturating_sub(1);
-        let records = self.records.get(from.map_or(newest, |p| p.offset)..)?;
-        Some(Page {
-            versions: records.iter().map(|r| r.version).collect(),
-            next: Position {
-                era: self.era,
-                offset: self.records.len(),
-            },
-        })
-    }
-
-    /// Returns whether a version newer than `version` has been on the log for longer than `limit_ms`.
-    fn has_newer(&self, now: Millis, version: u64, limit_ms: u64) -> bool {
-        let mut newer = self.records.iter().filter(|r| r.version > version);
-        newer.any(|r| now.since(r.written_at) > limit_ms)
-    }
-}
-
-/// A read that an instance waits for.
-#[derive(Debug)]
-struct Read {
-    asked_at: Millis,
-    from: Option<Position>,
-    /// Time at which the log answers.
-    served_at: Millis,
-    /// Time at which the answer arrives, and the answer, once the log has given it.
-    answer: Option<(Millis, Option<Page>)>,
-    is_lost: bool,
-}
-
 /// A simulated instance.
 #[derive(Default)]
 struct Instance {
@@ -123,7 +57,7 @@
     /// Latest era that the log has shown.
     era: Option<u64>,
     position: Option<Position>,
-    read: Option<Read>,
+    reader: Reader<u64>,
     /// Highest version that the instance has had since its start.
     highest_version: u64,
     is_disconnected: bool,
@@ -161,7 +95,7 @@
     now: Millis,
     /// Whether the faults have ended.
     is_recovering: bool,
-    log: Log,
+    log: CopiedLog<u64>,
     /// Versions that the log has lost, with the time at which the operator writes them again.
     lost: Vec<(u64, Millis)>,
     last_version: u64,
@@ -177,7 +111,7 @@
         guards,
         now: Millis::ZERO,
         is_recovering: false,
-        log: Log::default(),
+        log: CopiedLog::new(),
         lost: Vec::new(),
         last_version: 0,
         instances: (0..INSTANCES).map(|_| Instance::default()).collect(),
@@ -221,54 +155,38 @@
         }
     }
 
-    fn is_away(&self) -> bool {
-        self.now < self.log.away_until
-    }
-
     /// Writes a new version, unless the log is away.
     fn write_version(&mut self) {
-        if self.is_away() {
-            return;
+        if !self.log.is_away(self.now) {
+            self.last_version += 1;
+            self.log.write(self.now, self.last_version);
         }
-        self.last_version += 1;
-        self.log.records.push(Record {
-            version: self.last_version,
-            written_at: self.now,
-        });
     }
 
     /// Lets the log come back from a copy; the operator notices what is missing.
     fn restore(&mut self) {
-        let copied_at = self.now.minus(self.random.below(MAX_COPY_AGE_MS));
-        self.log.era += 1;
-        self.log.away_until = self.now.plus(self.random.below(MAX_AWAY_MS));
-        self.counts.restored += 1;
-        let (kept, lost) = self
-            .log
-            .records
-            .iter()
-            .partition::<Vec<_>, _>(|r| r.written_at <= copied_at);
-        self.log.records = kept;
-        let rewritten_at = self.log.away_until.plus(self.random.below(MAX_REWRITE_MS));
-        self.lost
-            .extend(lost.iter().map(|r| (r.version, rewritten_at)));
+        let lost = self.log.restore(self.now, &mut self.random);
+        let rewrite_ms = self.random.below(MAX_REWRITE_MS);
+        let rewritten_at = self.log.away_until().plus(rewrite_ms);
+        self.lost.extend(lost.iter().map(|v| (*v, rewritten_at)));
         self.lost.sort_unstable();
+        self.counts.restored += 1;
+    }
+
+    fn newest_version(&self) -> u64 {
+        self.log.records().last().map_or(0, |(_, version)| *version)
     }
 
     /// Writes the lost versions that are due again, in their order.
     fn rewrite_lost(&mut self) {
-        while !self.is_away()
+        while !self.log.is_away(self.now)
             && let Some((version, due)) = self.lost.first().copied()
             && due <= self.now
         {
             self.lost.remove(0);
-            let newest = self.log.records.last().map_or(0, |r| r.version);
             // A version that was written meanwhile replaces those before it.
-            if version > newest {
-                self.log.records.push(Record {
-                    version,
-                    written_at: self.now,
-                });
+            if version > self.newest_version() {
+                self.log.write(self.now, version);
             }
         }
     }
@@ -317,9 +235,7 @@
             self.on_summary(&summary);
         }
         for index in 0..INSTANCES {
-            if !self.instances[index].is_paused {
-                self.follow(index);
-            }
+            self.follow(index);
         }
         self.check();
     }
@@ -341,36 +257,27 @@
         }
     }
 
-    /// Lets an instance go on with its read of the log, or begin one.
+    /// Lets an instance go on with its read of the log.
     fn follow(&mut self, index: usize) {
-        let (now, is_away) = (self.now, self.is_away());
-        let is_lost = !self.is_recovering && self.random.below(100) < LOST_PERCENT;
-        let delays = [MAX_DELAY_MS, MAX_DELAY_MS].map(|max| self.random.below(max));
+        let now = self.now;
         let instance = &mut self.instances[index];
-        let Some(mut read) = instance.read.take() else {
-            instance.read = Some(Read {
-                asked_at: now,
-                from: instance.position,
-                served_at: now.plus(delays[0]),
-                answer: None,
-                is_lost,
-            });
+        instance.reader.serve(now, &self.log, &mut self.random);
+        if instance.is_paused {
             return;
+        }
+        let link = Link {
+            is_cut: instance.is_disconnected,
+            loses_answers: !self.is_recovering,
         };
-        if read.answer.is_none() && read.served_at <= now {
-            if !is_away {
-                let page = self.log.read(read.from);
-                read.answer = Some((now.plus(delays[1]), page));
+        let position = instance.position;
+        match instance.reader.poll(now, position, link, &mut self.random) {
+            None => {}
+            Some(Outcome::Answer { asked_at, page }) => {
+                instance.on_answer(asked_at, page, self.guards);
+            }
+            Some(Outcome::Failed { asked_at }) => {
+                instance.in_force.on_read_failed(asked_at, now);
             }
-            read.is_lost |= is_away;
-        }
-        let is_received = !read.is_lost && !instance.is_disconnected;
-        if let Some((_, page)) = read.answer.take_if(|(at, _)| is_received && *at <= now) {
-            instance.on_answer(read.asked_at, page, self.guards);
-        } else if now.since(read.asked_at) >= READ_LIMIT_MS {
-            instance.in_force.on_read_failed(read.asked_at, now);
-        } else {
-            instance.read = Some(read);
         }
     }
 
@@ -382,7 +289,9 @@
             self.counts.reverted += u64::from(version < instance.highest_version);
             instance.highest_version = instance.highest_version.max(version);
             let is_trusted = instance.in_force.standing(self.now) == Standing::Confirmed;
-            let is_outdated = self.log.has_newer(self.now, version, limit_ms);
+            let is_late = |at: Millis| self.now.since(at) > limit_ms;
+            let mut records = self.log.records().iter();
+            let is_outdated = records.any(|(at, newer)| *newer > version && is_late(*at));
             self.counts.outdated += u64::from(!instance.is_paused && is_trusted && is_outdated);
         }
     }
@@ -391,14 +300,14 @@
     fn recover(&mut self) {
         self.heal();
         self.is_recovering = true;
-        while self.is_away() || !self.lost.is_empty() {
+        while self.log.is_away(self.now) || !self.lost.is_empty() {
             self.advance();
         }
         let recovered_at = self.now.plus(RECOVERY_MS);
         while self.now < recovered_at {
             self.advance();
         }
-        let newest = self.log.records.last().map_or(0, |r| r.version);
+        let newest = self.newest_version();
         let has_newest = |instance: &&Instance| {
             let in_force = &instance.in_force;
             in_force.version() == newest && in_force.standing(self.now) == Standing::Confirmed
@@ -410,7 +319,7 @@
 
 impl Instance {
     /// Handles an answer of the log, which has no page if the log does not have the position.
-    fn on_answer(&mut self, asked_at: Millis, page: Option<Page>, guards: Guards) {
+    fn on_answer(&mut self, asked_at: Millis, page: Option<Page<u64>>, guards: Guards) {
         let Some(page) = page else {
             self.position = None;
             return;
@@ -420,13 +329,13 @@
             return;
         }
         self.position = Some(page.next);
-        for version in &page.versions {
+        for version in &page.records {
             self.in_force.install(Table::new(TableSpec {
                 version: *version,
                 ..TableSpec::default()
             }));
         }
-        let last = page.versions.last().map(|version| Ok(*version));
+        let last = page.records.last().map(|version| Ok(*version));
         let era = if guards.follows_era { page.next.era } else { 0 };
         self.newest.on_read(era, last);
         if self.newest.shows(self.in_force.newest_known(asked_at)) {
@@ -438,7 +347,7 @@
 
     /// Records the era of a page; returns whether the page, and the position that it was read from, are of
     /// the present one.
-    fn is_of_present_era(&mut self, page: &Page) -> bool {
+    fn is_of_present_era(&mut self, page: &Page<u64>) -> bool {
         let era = page.next.era;
         let is_present = self.era <= Some(era);
         self.era = self.era.max(Some(era));
--- a/crates/vanillakeel-bench/tests/random_schedules.rs
+++ b/crates/vanillakeel-bench/tests/random_schedules.rs
@@ -35,6 +35,9 @@
 #[case::old_list(Guards { reads_list_first: false, ..Guards::default() }, |t: &Totals| t.mixed_streams)]
 #[case::era_behind(Guards { follows_era: false, ..Guards::default() }, |t: &Totals| t.left_behind)]
 #[case::era_outdated(Guards { follows_era: false, ..Guards::default() }, |t: &Totals| t.outdated)]
+#[case::era_of_list(Guards { follows_era: false, ..Guards::default() }, |t: &Totals| t.wrongly_removed)]
+#[case::era_of_removals(Guards { follows_era: false, ..Guards::default() }, |t: &Totals| t.returned)]
+#[case::old_answer(Guards { dates_reads: false, ..Guards::default() }, |t: &Totals| t.wrongly_removed)]
 fn missing_guard_found(#[case] guards: Guards, #[case] count: fn(&Totals) -> u64) {
     let totals = run_schedules(SEED, SCHEDULES, STEPS, guards);
     assert!(count(&totals) > 0, "{totals:?}");
