refactor: schedules on a log with copies share how an instance follows it

The schedules of the configuration and of the list of upstreams each had their own record of the era and the position. Follower now holds both beside the read that is under way, and gives only pages of the present era.

Ruled out: sharing the faults of instances as well, which differ in their shares.

--- a/crates/vanillakeel-bench/src/faults/copied_log.rs
+++ b/crates/vanillakeel-bench/src/faults/copied_log.rs
@@ -1,4 +1,4 @@
-//! A simulated log that comes back from earlier copies, and its readers.
+//! A simulated log that comes back from earlier copies, and how instances follow it.
 
 use vanillakeel::{
     Millis,
@@ -22,8 +22,8 @@
 
 /// A place on the log, from which an instance reads on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct Position {
-    pub(super) era: u64,
+struct Position {
+    era: u64,
     offset: usize,
 }
 
@@ -31,7 +31,13 @@
 #[derive(Clone, Debug)]
 pub(super) struct Page<R> {
     pub(super) records: Vec<R>,
-    pub(super) next: Position,
+    next: Position,
+}
+
+impl<R> Page<R> {
+    pub(super) const fn era(&self) -> u64 {
+        self.next.era
+    }
 }
 
 /// A log whose contents go back to those of an earlier copy now and then; the offset of a record is its
@@ -96,13 +102,14 @@
     }
 }
 
-/// The outcome of a read.
+/// The outcome of a read that was sent at `asked_at`.
 #[derive(Debug)]
 pub(super) enum Outcome<R> {
-    /// The answer to a read that was sent at `asked_at`; `None` if the log does not have the position.
-    Answer {
+    Page {
         asked_at: Millis,
-        page: Option<Page<R>>,
+        page: Page<R>,
+        /// Whether the page has all records.
+        is_list: bool,
     },
     Failed {
         asked_at: Millis,
@@ -128,19 +135,32 @@
     is_lost: bool,
 }
 
-/// Reads a log, one read after the other.
+/// Follows a log from an instance, one read after the other.
 #[derive(Debug)]
-pub(super) struct Reader<R> {
+pub(super) struct Follower<R> {
     read: Option<Read<R>>,
+    /// Position from which the next read goes on; without it, all records are read.
+    position: Option<Position>,
+    /// Latest era that the log has shown.
+    era: Option<u64>,
 }
 
-impl<R> Default for Reader<R> {
+impl<R> Default for Follower<R> {
     fn default() -> Self {
-        Self { read: None }
+        Self {
+            read: None,
+            position: None,
+            era: None,
+        }
     }
 }
 
-impl<R: Clone> Reader<R> {
+impl<R: Clone> Follower<R> {
+    /// Returns the latest era that the log has shown, or 0 before the first answer.
+    pub(super) fn era(&self) -> u64 {
+        self.era.unwrap_or(0)
+    }
+
     /// Lets the log answer a question that has reached it.
     ///
     /// This also has to be called while the instance is paused, whose answer then waits for it.
@@ -155,18 +175,21 @@
         }
     }
 
-    /// Goes on with the read that is under way, or sends one from a position; returns its outcome.
+    /// Goes on with the read that is under way, or sends one; returns its outcome.
+    ///
+    /// A page of an earlier era, or read from a position of one, has no outcome; all records are read
+    /// next. `follows_era` is false for an instance that ignores eras.
     pub(super) fn poll(
         &mut self,
         now: Millis,
-        from: Option<Position>,
         link: Link,
         random: &mut Random,
+        follows_era: bool,
     ) -> Option<Outcome<R>> {
         let Some(mut read) = self.read.take() else {
             self.read = Some(Read {
                 asked_at: now,
-                from,
+                from: self.position,
                 served_at: now.plus(random.below(MAX_DELAY_MS)),
                 answer: None,
                 is_lost: link.loses_answers && random.below(100) < LOST_PERCENT,
@@ -176,7 +199,14 @@
         let asked_at = read.asked_at;
         let is_received = !read.is_lost && !link.is_cut;
         if let Some((_, page)) = read.answer.take_if(|(at, _)| is_received && *at <= now) {
-            return Some(Outcome::Answer { asked_at, page });
+            let page = page.filter(|page| !follows_era || self.is_of_present_era(page));
+            let is_list = self.position.is_none();
+            self.position = page.as_ref().map(|page| page.next);
+            return page.map(|page| Outcome::Page {
+                asked_at,
+                page,
+                is_list,
+            });
         }
         if now.since(asked_at) >= READ_LIMIT_MS {
             return Some(Outcome::Failed { asked_at });
@@ -184,4 +214,13 @@
         self.read = Some(read);
         None
     }
+
+    /// Records the era of a page; returns whether the page, and the position that it was read from, are of
+    /// the present one.
+    fn is_of_present_era(&mut self, page: &Page<R>) -> bool {
+        let era = page.next.era;
+        let is_present = self.era <= Some(era);
+        self.era = self.era.max(Some(era));
+        is_present && self.position.is_none_or(|p| p.era == era)
+    }
 }
--- a/crates/vanillakeel-bench/src/faults/restored_list.rs
+++ b/crates/vanillakeel-bench/src/faults/restored_list.rs
@@ -11,11 +11,9 @@
     Guards,
     copied_log::{
         CopiedLog,
+        Follower,
         Link,
-        Outcome,
-        Page,
-        Position,
-        Reader, //
+        Outcome, //
     },
 };
 use std::{
@@ -71,11 +69,9 @@
     removed: RemovedUpstreams,
     /// Entries of an earlier copy whose upstreams have left since.
     outdated: Vec<Entry>,
-    era: Option<u64>,
     /// Era in which the complete list was read.
     listed_era: Option<u64>,
-    position: Option<Position>,
-    reader: Reader<Entry>,
+    follower: Follower<Entry>,
     has_lost_log: bool,
     /// Upstreams that the instance has removed, with their incarnations.
     gone: Vec<(usize, u64)>,
@@ -90,10 +86,8 @@
             missing: MissingUpstreams::default(),
             removed: RemovedUpstreams::default(),
             outdated: Vec::new(),
-            era: None,
             listed_era: None,
-            position: None,
-            reader: Reader::default(),
+            follower: Follower::default(),
             has_lost_log: false,
             gone: Vec::new(),
             is_disconnected: false,
@@ -230,7 +224,7 @@
     fn follow(&mut self, index: usize) {
         let now = self.now;
         let instance = &mut self.instances[index];
-        instance.reader.serve(now, &self.log, &mut self.random);
+        instance.follower.serve(now, &self.log, &mut self.random);
         if instance.is_paused {
             return;
         }
@@ -238,16 +232,28 @@
             is_cut: instance.is_disconnected,
             loses_answers: !self.is_recovering,
         };
-        let position = instance.position;
-        match instance.reader.poll(now, position, link, &mut self.random) {
+        let follower = &mut instance.follower;
+        match follower.poll(now, link, &mut self.random, self.guards.follows_era) {
             None => {}
             Some(Outcome::Failed { .. }) => instance.has_lost_log = true,
-            Some(Outcome::Answer { page: None, .. }) => instance.position = None,
-            Some(Outcome::Answer {
+            Some(Outcome::Page {
                 asked_at,
-                page: Some(page),
+                page,
+                is_list,
             }) => {
-                for removed in instance.on_page(now, asked_at, &page, self.guards) {
+                // Without eras, all records belong to the same one.
+                let era = if self.guards.follows_era {
+                    page.era()
+                } else {
+                    0
+                };
+                instance.apply_page(now, &page.records, is_list, era);
+                let dated_at = if self.guards.dates_reads {
+                    asked_at
+                } else {
+                    now
+                };
+                for removed in instance.remove_due(dated_at) {
                     let upstream = self.upstreams[removed.0];
                     let serves = upstream.serves && upstream.incarnation == removed.1;
                     self.counts.wrongly_removed += u64::from(serves);
@@ -311,46 +317,31 @@
         known.any(|u| u.name == name && u.incarnation == incarnation)
     }
 
-    /// Applies a page of the list; returns the upstreams that it removes, with their incarnations.
-    fn on_page(
-        &mut self,
-        now: Millis,
-        asked_at: Millis,
-        page: &Page<Entry>,
-        guards: Guards,
-    ) -> Vec<(usize, u64)> {
-        if guards.follows_era && !self.is_of_present_era(page) {
-            self.position = None;
-            return Vec::new();
-        }
+    /// Applies a page of the list, or the complete list.
+    fn apply_page(&mut self, now: Millis, records: &[Entry], is_list: bool, era: u64) {
         let relisted_at = now.plus(RELISTED_MS);
         if std::mem::take(&mut self.has_lost_log) {
             self.missing.on_outage_over(relisted_at);
         }
-        let is_list = self.position.is_none();
         let entries = if is_list {
-            newest_entries(&page.records)
+            newest_entries(records)
         } else {
-            page.records.clone()
+            records.to_vec()
         };
         let names: Vec<Arc<str>> = entries.iter().map(|(number, _)| name(*number)).collect();
         let names: Vec<&str> = names.iter().map(|n| &**n).collect();
-        let era = page.next.era;
         let previous_era = self.listed_era.replace(era);
-        if guards.follows_era && previous_era.is_some_and(|previous| previous != era) {
+        if previous_era.is_some_and(|previous| previous != era) {
             self.missing.on_copy(&self.fleet, &names, relisted_at);
             self.outdated = self.outdated_entries(&entries);
         } else if is_list {
             self.missing.on_list(&self.fleet, &names);
         }
-        self.position = Some(page.next);
         for entry in &entries {
             if !(is_list && self.outdated.contains(entry)) {
                 self.apply(*entry);
             }
         }
-        let is_dated = guards.dates_reads;
-        self.remove_due(if is_dated { asked_at } else { now })
     }
 
     /// Returns the entries whose upstreams have left since.
@@ -370,7 +361,7 @@
         self.fleet.on_listed(&listed(number, incarnation));
     }
 
-    /// Removes the upstreams that are missing for long enough.
+    /// Removes the upstreams that are missing for long enough; returns them with their incarnations.
     fn remove_due(&mut self, at: Millis) -> Vec<(usize, u64)> {
         let due = self.missing.take_due(at, &self.fleet);
         let numbers = (0..UPSTREAMS).filter(|n| due.contains(&name(*n)));
@@ -386,15 +377,6 @@
         self.gone.extend(&removed);
         removed
     }
-
-    /// Records the era of a page; returns whether the page, and the position that it was read from, are of
-    /// the present one.
-    fn is_of_present_era(&mut self, page: &Page<Entry>) -> bool {
-        let era = page.next.era;
-        let is_present = self.era <= Some(era);
-        self.era = self.era.max(Some(era));
-        is_present && self.position.is_none_or(|p| p.era == era)
-    }
 }
 
 /// Returns the newest entry of each upstream that has not left.
--- a/crates/vanillakeel-bench/src/faults/restored_log.rs
+++ b/crates/vanillakeel-bench/src/faults/restored_log.rs
@@ -11,11 +11,10 @@
     Guards,
     copied_log::{
         CopiedLog,
+        Follower,
         Link,
         Outcome,
-        Page,
-        Position,
-        Reader, //
+        Page, //
     },
 };
 use vanillakeel::{
@@ -54,10 +53,7 @@
 struct Instance {
     in_force: InForce,
     newest: NewestRead,
-    /// Latest era that the log has shown.
-    era: Option<u64>,
-    position: Option<Position>,
-    reader: Reader<u64>,
+    follower: Follower<u64>,
     /// Highest version that the instance has had since its start.
     highest_version: u64,
     is_disconnected: bool,
@@ -215,7 +211,7 @@
             starts: self.instances[to].starts,
             arrives_at,
             version: hub.in_force.version(),
-            era: hub.era.unwrap_or(0),
+            era: hub.follower.era(),
             confirmed_at: age_ms
                 .filter(is_fresh)
                 .and_then(|age| sent_at.checked_minus(age)),
@@ -247,7 +243,7 @@
             return;
         }
         instance.in_force.on_announced(now, summary.version);
-        let is_fresh = summary.era >= instance.era.unwrap_or(0);
+        let is_fresh = summary.era >= instance.follower.era();
         let is_same = instance.in_force.version() == summary.version;
         if let Some(confirmed_at) = summary.confirmed_at
             && is_fresh
@@ -261,7 +257,7 @@
     fn follow(&mut self, index: usize) {
         let now = self.now;
         let instance = &mut self.instances[index];
-        instance.reader.serve(now, &self.log, &mut self.random);
+        instance.follower.serve(now, &self.log, &mut self.random);
         if instance.is_paused {
             return;
         }
@@ -269,11 +265,12 @@
             is_cut: instance.is_disconnected,
             loses_answers: !self.is_recovering,
         };
-        let position = instance.position;
-        match instance.reader.poll(now, position, link, &mut self.random) {
+        let follows_era = self.guards.follows_era;
+        let follower = &mut instance.follower;
+        match follower.poll(now, link, &mut self.random, follows_era) {
             None => {}
-            Some(Outcome::Answer { asked_at, page }) => {
-                instance.on_answer(asked_at, page, self.guards);
+            Some(Outcome::Page { asked_at, page, .. }) => {
+                instance.on_page(asked_at, &page, follows_era);
             }
             Some(Outcome::Failed { asked_at }) => {
                 instance.in_force.on_read_failed(asked_at, now);
@@ -318,17 +315,8 @@
 }
 
 impl Instance {
-    /// Handles an answer of the log, which has no page if the log does not have the position.
-    fn on_answer(&mut self, asked_at: Millis, page: Option<Page<u64>>, guards: Guards) {
-        let Some(page) = page else {
-            self.position = None;
-            return;
-        };
-        if guards.follows_era && !self.is_of_present_era(&page) {
-            self.position = None;
-            return;
-        }
-        self.position = Some(page.next);
+    /// Applies a page of the log, which was asked for at `asked_at`.
+    fn on_page(&mut self, asked_at: Millis, page: &Page<u64>, follows_era: bool) {
         for version in &page.records {
             self.in_force.install(Table::new(TableSpec {
                 version: *version,
@@ -336,7 +324,7 @@
             }));
         }
         let last = page.records.last().map(|version| Ok(*version));
-        let era = if guards.follows_era { page.next.era } else { 0 };
+        let era = if follows_era { page.era() } else { 0 };
         self.newest.on_read(era, last);
         if self.newest.shows(self.in_force.newest_known(asked_at)) {
             self.in_force.confirm_newest(asked_at);
@@ -344,13 +332,4 @@
             self.in_force.on_read_failed(asked_at, asked_at);
         }
     }
-
-    /// Records the era of a page; returns whether the page, and the position that it was read from, are of
-    /// the present one.
-    fn is_of_present_era(&mut self, page: &Page<u64>) -> bool {
-        let era = page.next.era;
-        let is_present = self.era <= Some(era);
-        self.era = self.era.max(Some(era));
-        is_present && self.position.is_none_or(|p| p.era == era)
-    }
 }
