refactor: a read of the simulated log gives its records and their era

Both schedules on a log with copies worked out the era for an instance that ignores eras; the follower does so once.

Ruled out: a follower without the switch, with which the tests of missing guards would need a second one.

--- a/crates/vanillakeel-bench/src/faults/copied_log.rs
+++ b/crates/vanillakeel-bench/src/faults/copied_log.rs
@@ -29,17 +29,11 @@
 
 /// Records from a position on, or all of them, and the position after them.
 #[derive(Clone, Debug)]
-pub(super) struct Page<R> {
-    pub(super) records: Vec<R>,
+struct Page<R> {
+    records: Vec<R>,
     next: Position,
 }
 
-impl<R> Page<R> {
-    pub(super) const fn era(&self) -> u64 {
-        self.next.era
-    }
-}
-
 /// A log whose contents go back to those of an earlier copy now and then; the offset of a record is its
 /// index.
 #[derive(Debug)]
@@ -107,9 +101,11 @@
 pub(super) enum Outcome<R> {
     Page {
         asked_at: Millis,
-        page: Page<R>,
-        /// Whether the page has all records.
+        records: Vec<R>,
+        /// Whether these are all records.
         is_list: bool,
+        /// Era of the log, or 0 for an instance that ignores eras.
+        era: u64,
     },
     Failed {
         asked_at: Millis,
@@ -204,8 +200,9 @@
             self.position = page.as_ref().map(|page| page.next);
             return page.map(|page| Outcome::Page {
                 asked_at,
-                page,
+                records: page.records,
                 is_list,
+                era: if follows_era { page.next.era } else { 0 },
             });
         }
         if now.since(asked_at) >= READ_LIMIT_MS {
--- a/crates/vanillakeel-bench/src/faults/restored_list.rs
+++ b/crates/vanillakeel-bench/src/faults/restored_list.rs
@@ -238,16 +238,11 @@
             Some(Outcome::Failed { .. }) => instance.has_lost_log = true,
             Some(Outcome::Page {
                 asked_at,
-                page,
+                records,
                 is_list,
+                era,
             }) => {
-                // Without eras, all records belong to the same one.
-                let era = if self.guards.follows_era {
-                    page.era()
-                } else {
-                    0
-                };
-                instance.apply_page(now, &page.records, is_list, era);
+                instance.apply_records(now, &records, is_list, era);
                 let dated_at = if self.guards.dates_reads {
                     asked_at
                 } else {
@@ -317,8 +312,8 @@
         known.any(|u| u.name == name && u.incarnation == incarnation)
     }
 
-    /// Applies a page of the list, or the complete list.
-    fn apply_page(&mut self, now: Millis, records: &[Entry], is_list: bool, era: u64) {
+    /// Applies all records of the list, or those that follow.
+    fn apply_records(&mut self, now: Millis, records: &[Entry], is_list: bool, era: u64) {
         let relisted_at = now.plus(RELISTED_MS);
         if std::mem::take(&mut self.has_lost_log) {
             self.missing.on_outage_over(relisted_at);
--- a/crates/vanillakeel-bench/src/faults/restored_log.rs
+++ b/crates/vanillakeel-bench/src/faults/restored_log.rs
@@ -13,8 +13,7 @@
         CopiedLog,
         Follower,
         Link,
-        Outcome,
-        Page, //
+        Outcome, //
     },
 };
 use vanillakeel::{
@@ -265,13 +264,15 @@
             is_cut: instance.is_disconnected,
             loses_answers: !self.is_recovering,
         };
-        let follows_era = self.guards.follows_era;
         let follower = &mut instance.follower;
-        match follower.poll(now, link, &mut self.random, follows_era) {
+        match follower.poll(now, link, &mut self.random, self.guards.follows_era) {
             None => {}
-            Some(Outcome::Page { asked_at, page, .. }) => {
-                instance.on_page(asked_at, &page, follows_era);
-            }
+            Some(Outcome::Page {
+                asked_at,
+                records,
+                era,
+                ..
+            }) => instance.on_versions(asked_at, &records, era),
             Some(Outcome::Failed { asked_at }) => {
                 instance.in_force.on_read_failed(asked_at, now);
             }
@@ -315,16 +316,15 @@
 }
 
 impl Instance {
-    /// Applies a page of the log, which was asked for at `asked_at`.
-    fn on_page(&mut self, asked_at: Millis, page: &Page<u64>, follows_era: bool) {
-        for version in &page.records {
+    /// Applies versions that were read from the log by a read that was sent at `asked_at`.
+    fn on_versions(&mut self, asked_at: Millis, versions: &[u64], era: u64) {
+        for version in versions {
             self.in_force.install(Table::new(TableSpec {
                 version: *version,
                 ..TableSpec::default()
             }));
         }
-        let last = page.records.last().map(|version| Ok(*version));
-        let era = if follows_era { page.era() } else { 0 };
+        let last = versions.last().map(|version| Ok(*version));
         self.newest.on_read(era, last);
         if self.newest.shows(self.in_force.newest_known(asked_at)) {
             self.in_force.confirm_newest(asked_at);
