--- a/crates/vanillakeel/src/fleet.rs
+++ b/crates/vanillakeel/src/fleet.rs
@@ -8,7 +8,9 @@
 //! cost adds up the expected wait there, the prefill or transfer of shared prompt tokens that it does
 //! not have cached, and a surcharge for another data centre.
 //! [`Fleet::admit`] sheds load before a send. [`Fleet::on_send`], [`Fleet::on_first_event`] and
-//! [`Fleet::on_end`] report the progress of a call.
+//! [`Fleet::on_end`] report the progress of a call. [`MissingUpstreams`] decides when an upstream whose
+//! entry has disappeared from the list is removed, and [`RemovedUpstreams`] whether an entry is out of
+//! date.
 //!
 //! ```
 //! use vanillakeel::{Millis, fleet::{Fleet, ListedUpstream, RequestInfo, Settings}};
--- a/crates/vanillakeel/src/routes.rs
+++ b/crates/vanillakeel/src/routes.rs
@@ -4,7 +4,8 @@
 //! [`config`](crate::config) instead.
 //!
 //! A [`Table`] is one version of the operator's routing configuration, indexed for lookups. It is
-//! immutable; a newer version replaces it as a whole, and [`InForce`] rejects an older one.
+//! immutable; a newer version replaces it as a whole, and [`InForce`] rejects an older one. [`NewestRead`]
+//! tells whether a read of the log shows that a version is the newest.
 //!
 //! ```
 //! use vanillakeel::routes::{Route, Table, TableSpec};
