feat: lines tell late reads, refusals and retries apart

Cause: a read of the log that failed did not say how much of its answer had arrived, a refusal said nothing of the request, and a retry that the budget denied left no line, so the hypotheses on refused urgent requests and on the budget could not be told apart.

What: 'log lost' with received_bytes, 'refused' with service, route, rank, prompt and target, refusals by admission with wait and limit, a line 'retry' with the use of the budget, a metric for denied retries.

--- a/crates/vanillakeel-entry/src/gateway.rs
+++ b/crates/vanillakeel-entry/src/gateway.rs
@@ -59,6 +59,7 @@
         Page,
         Position,
         ReadError,
+        ReadProgress,
         Topic, //
     },
     run::{
--- a/crates/vanillakeel-entry/src/gateway/exchange.rs
+++ b/crates/vanillakeel-entry/src/gateway/exchange.rs
@@ -47,6 +47,7 @@
 use tokio::time::timeout;
 use vanillakeel::fleet::{
     CallOutcome,
+    Overload,
     Pick,
     RequestInfo, //
 };
@@ -77,8 +78,8 @@
 pub(super) enum SendFailure {
     /// no upstream may be sent to now
     NoUpstream,
-    /// prompts are queued for too long; room is expected in {0} ms
-    Overload(u64),
+    /// {0}
+    Overload(Overload),
     /// all connections to the upstream are in use
     NoConnection,
     /// the upstream could not be reached, nothing was sent
@@ -163,7 +164,7 @@
         return Err(match failure {
             _ if attempts.possible_runs > 0 => Refusal::Broken,
             SendFailure::NoUpstream | SendFailure::ConnectFailed => Refusal::NoUpstream,
-            SendFailure::Overload(ms) => Refusal::Overload(ms),
+            SendFailure::Overload(overload) => Refusal::Overload(overload.retry_after_ms),
             _ => Refusal::Full,
         });
     }
@@ -227,9 +228,9 @@
         }
         SendFailure::Refused => {
             attempts.refusals += 1;
-            allows_retry && attempts.refusals < MAX_REFUSALS && shared.take_retry(&request.service)
+            allows_retry && attempts.refusals < MAX_REFUSALS && shared.take_retry(request)
         }
-        SendFailure::Broken(_) => allows_retry && shared.take_retry(&request.service),
+        SendFailure::Broken(_) => allows_retry && shared.take_retry(request),
     }
 }
 
@@ -253,7 +254,7 @@
     let now = shared.clock.now();
     attempts.possible_runs < request.route.max_attempts
         && shared.fleet.borrow().has_upstream(now, &info)
-        && shared.take_retry(&request.service)
+        && shared.take_retry(request)
 }
 
 /// Makes one attempt: sends a request to the best upstream and waits for the head of its response.
--- a/crates/vanillakeel-entry/src/gateway/log_adapter.rs
+++ b/crates/vanillakeel-entry/src/gateway/log_adapter.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
 use std::{
+    cell::Cell,
     fmt,
     rc::Rc, //
 };
@@ -78,13 +79,33 @@
 
 impl std::error::Error for ReadError {}
 
+/// How much of the answers to a read has arrived, which the adapter updates as bytes arrive.
+#[derive(Clone, Debug, Default)]
+pub struct ReadProgress(Rc<Cell<u64>>);
+
+impl ReadProgress {
+    /// Returns the bytes that have arrived, of all pages together.
+    #[must_use]
+    pub fn bytes(&self) -> u64 {
+        self.0.get()
+    }
+
+    /// Adds bytes that have arrived.
+    pub fn add(&self, bytes: usize) {
+        self.0.set(self.0.get() + bytes as u64);
+    }
+}
+
+/// Result of a read that is under way.
+type PageFuture = LocalBoxFuture<'static, Result<Page, ReadError>>;
+
 /// Reads one page of the newest records of a topic, starting after a key.
-type ReadNewest = dyn Fn(Topic, Option<String>) -> LocalBoxFuture<'static, Result<Page, ReadError>>;
+type ReadNewest = dyn Fn(Topic, Option<String>, ReadProgress) -> PageFuture;
 
 /// Reads the records of a topic from an offset.
 ///
-/// The last argument is the time for which the log waits for the first record, in ms.
-type ReadFrom = dyn Fn(Topic, u64, u64) -> LocalBoxFuture<'static, Result<Page, ReadError>>;
+/// The third argument is the time for which the log waits for the first record, in ms.
+type ReadFrom = dyn Fn(Topic, u64, u64, ReadProgress) -> PageFuture;
 
 /// Writes the record of a key; an entry without a value deletes the key.
 type WriteEntry = dyn Fn(Topic, Entry) -> LocalBoxFuture<'static, Result<(), ReadError>>;
@@ -119,8 +140,8 @@
     fn default() -> Self {
         let fail = || ReadError::NoAnswer("no source is set".to_owned());
         Self {
-            read_newest: Rc::new(move |_, _| Box::pin(async move { Err(fail()) })),
-            read_from: Rc::new(move |_, _, _| Box::pin(async move { Err(fail()) })),
+            read_newest: Rc::new(move |_, _, _| Box::pin(async move { Err(fail()) })),
+            read_from: Rc::new(move |_, _, _, _| Box::pin(async move { Err(fail()) })),
             write: Rc::new(move |_, _| Box::pin(async move { Err(fail()) })),
             drop_idle: Rc::new(|| ()),
             configuration_key: "configuration".to_owned(),
--- a/crates/vanillakeel-entry/src/gateway/log_reads.rs
+++ b/crates/vanillakeel-entry/src/gateway/log_reads.rs
@@ -13,6 +13,7 @@
     LogAdapter,
     Page,
     ReadError,
+    ReadProgress,
     Topic, //
 };
 use crate::Clock;
@@ -55,6 +56,8 @@
 pub(super) struct Answer {
     /// Time at which the read was sent; for a failure, that of the last attempt.
     pub(super) asked_at: Millis,
+    /// Bytes that have arrived.
+    pub(super) received_bytes: u64,
     pub(super) result: Result<Page, ReadError>,
 }
 
@@ -129,20 +132,29 @@
 
 async fn send(clock: Clock, log: &LogAdapter, req: ReadRequest) -> Answer {
     let asked_at = clock.now();
+    let progress = ReadProgress::default();
     let result = match req.from {
-        None => read_all_newest(log, req.topic).await,
-        Some(from) => (log.read_from)(req.topic, from, req.wait_ms).await,
+        None => read_all_newest(log, req.topic, &progress).await,
+        Some(from) => (log.read_from)(req.topic, from, req.wait_ms, progress.clone()).await,
     };
-    Answer { asked_at, result }
+    Answer {
+        asked_at,
+        received_bytes: progress.bytes(),
+        result,
+    }
 }
 
 /// Reads all pages of the newest records, with the offset from which to continue.
-async fn read_all_newest(log: &LogAdapter, topic: Topic) -> Result<Page, ReadError> {
-    let mut all = (log.read_newest)(topic, None).await?;
+async fn read_all_newest(
+    log: &LogAdapter,
+    topic: Topic,
+    progress: &ReadProgress,
+) -> Result<Page, ReadError> {
+    let mut all = (log.read_newest)(topic, None, progress.clone()).await?;
     // `next_offset` stays that of the first page: records that are written while the other pages are
     // read follow after it.
     while let Some(after) = all.continue_after.take() {
-        let page = (log.read_newest)(topic, Some(after)).await?;
+        let page = (log.read_newest)(topic, Some(after), progress.clone()).await?;
         if page.era != all.era {
             return Err(ReadError::Compacted);
         }
--- a/crates/vanillakeel-entry/src/gateway/metrics.rs
+++ b/crates/vanillakeel-entry/src/gateway/metrics.rs
@@ -68,6 +68,7 @@
     answer_time: RankHistograms,
     pub(super) lines_dropped: Counter,
     pub(super) broken_answers: Counter,
+    pub(super) denied_retries: Counter,
     pub(super) upstream_connections: Counter,
     pub(super) source_errors: Counter,
     pub(super) late_confirmations: Counter,
@@ -93,6 +94,7 @@
             answer_time: rank_histograms(),
             lines_dropped: Counter::default(),
             broken_answers: Counter::default(),
+            denied_retries: Counter::default(),
             upstream_connections: Counter::default(),
             source_errors: Counter::default(),
             late_confirmations: Counter::default(),
@@ -150,6 +152,11 @@
             "Answers that an upstream broke off",
             self.broken_answers.clone(),
         );
+        registry.register(
+            "denied_retries",
+            "Retries that the budget of their service did not allow",
+            self.denied_retries.clone(),
+        );
         registry.register(
             "upstream_connections",
             "Connections opened to upstreams",
--- a/crates/vanillakeel-entry/src/gateway/peers.rs
+++ b/crates/vanillakeel-entry/src/gateway/peers.rs
@@ -9,6 +9,7 @@
     log_adapter::{
         Entry,
         LogAdapter,
+        ReadProgress,
         Topic, //
     },
     mesh_wire::{
@@ -93,7 +94,7 @@
     write_address(log, &entry).await;
     let mut after = None;
     loop {
-        match (log.read_newest)(Topic::Peers, after.clone()).await {
+        match (log.read_newest)(Topic::Peers, after.clone(), ReadProgress::default()).await {
             Ok(page) => {
                 let peers = page.entries.iter().filter_map(parse_peer);
                 for peer in peers {
--- a/crates/vanillakeel-entry/src/gateway/request.rs
+++ b/crates/vanillakeel-entry/src/gateway/request.rs
@@ -87,7 +87,28 @@
     pub(super) max_connections: u32,
 }
 
+/// What the log says of a routed request.
+#[derive(Clone, Debug)]
+struct RoutedFacts {
+    /// Version of the configuration by which the request was routed.
+    version: u64,
+    service: Arc<str>,
+    route: Rc<Route>,
+    rank: u8,
+    prompt_tokens: u32,
+}
+
 impl RoutedRequest {
+    fn facts(&self) -> RoutedFacts {
+        RoutedFacts {
+            version: self.version,
+            service: Arc::clone(&self.service),
+            route: Rc::clone(&self.route),
+            rank: self.rank,
+            prompt_tokens: self.prompt_tokens,
+        }
+    }
+
     /// Returns the stream to which the events of the answer belong.
     pub(super) fn stream(&self) -> StreamId {
         match self.continues {
@@ -133,11 +154,11 @@
     let mut unfinished = UnfinishedRequest {
         shared: &shared,
         id: id.clone(),
-        routed_by: None,
+        routed: None,
         has_response: false,
     };
     let result = if is_unambiguous {
-        serve(&shared, arrived, req, &mut unfinished.routed_by).await
+        serve(&shared, arrived, req, &mut unfinished.routed).await
     } else {
         Err(Refusal::Ambiguous)
     };
@@ -151,7 +172,7 @@
                 id.as_deref(),
                 refusal,
                 arrived,
-                unfinished.routed_by,
+                unfinished.routed.as_ref(),
             );
             let mut response = refusal.response();
             let value = id.as_deref().and_then(|id| HeaderValue::from_str(id).ok());
@@ -186,7 +207,7 @@
 struct UnfinishedRequest<'a> {
     shared: &'a Shared,
     id: Option<Arc<str>>,
-    routed_by: Option<u64>,
+    routed: Option<RoutedFacts>,
     has_response: bool,
 }
 
@@ -197,19 +218,19 @@
         }
         tracing::info!(
             request = self.id.as_deref().unwrap_or(""),
-            version = self.routed_by,
+            version = self.routed.as_ref().map(|r| r.version),
             "caller left"
         );
     }
 }
 
-/// Logs a refusal; `routed_by` is the version by which the request was routed, if it was.
+/// Logs a refusal; `routed` tells how the request was routed, if it was.
 fn log_refusal(
     shared: &Shared,
     id: Option<&str>,
     refusal: Refusal,
     arrived: Millis,
-    routed_by: Option<u64>,
+    routed: Option<&RoutedFacts>,
 ) {
     if !shared.may_log(Kind::Failure) {
         return;
@@ -217,6 +238,7 @@
     let now = shared.clock.now();
     let in_force = shared.in_force.borrow();
     let newest = in_force.table().map(|t| t.version());
+    let routed_by = routed.map(|r| r.version);
     tracing::info!(
         request = id.unwrap_or(""),
         reason = refusal.as_str(),
@@ -225,17 +247,22 @@
         in_force = newest.filter(|_| routed_by.is_some() && routed_by != newest),
         proof_age_ms = in_force.confirmation_age_ms(now),
         proof_from = &**shared.confirmed_by.borrow(),
+        service = routed.map(|r| &*r.service),
+        route = routed.map(|r| &*r.route.name),
+        rank = routed.map(|r| r.rank),
+        prompt_tokens = routed.map(|r| r.prompt_tokens),
+        target_ms = routed.map(|r| r.route.target_ms),
         after_ms = now.since(arrived),
         "refused"
     );
 }
 
-/// Reads, routes and forwards a request; sets `routed_by` to the version by which it was routed.
+/// Reads, routes and forwards a request; sets `routed` once it is routed.
 async fn serve(
     shared: &Rc<Shared>,
     arrived: Millis,
     req: Request<Incoming>,
-    routed_by: &mut Option<u64>,
+    routed: &mut Option<RoutedFacts>,
 ) -> Result<Response<ResponseBody>, Refusal> {
     let (parts, body) = req.into_parts();
     let limits = shared.limits();
@@ -247,7 +274,7 @@
     // arrival.
     let table = shared.usable_table().await?;
     let mut request = route_request(shared, &table, arrived, parts, body)?;
-    *routed_by = Some(request.version);
+    *routed = Some(request.facts());
     shared.on_request(&request.service);
     request.software = streams::software_of(shared, &request).await?;
     exchange::forward(shared, request).await
--- a/crates/vanillakeel-entry/src/gateway/shared.rs
+++ b/crates/vanillakeel-entry/src/gateway/shared.rs
@@ -12,6 +12,7 @@
         LineLimiter, //
     },
     metrics::Metrics,
+    request::RoutedRequest,
     settings::Settings,
     sockets::ConnectionPool,
     streams::PendingLookup, //
@@ -460,11 +461,30 @@
         self.with_retry_budget(service, |b| b.on_request(now));
     }
 
-    /// Takes a retry from the budget of a service; returns whether the budget allowed it.
-    pub(super) fn take_retry(&self, service: &Arc<str>) -> bool {
+    /// Takes a retry of a request from the budget of its service; returns whether the budget allowed
+    /// it.
+    pub(super) fn take_retry(&self, request: &RoutedRequest) -> bool {
         let now = self.clock.now();
         let instances = self.instances();
-        self.with_retry_budget(service, |b| b.take(now, instances))
+        let (is_allowed, usage) = self.with_retry_budget(&request.service, |b| {
+            let is_allowed = b.take(now, instances);
+            (is_allowed, b.usage(now))
+        });
+        if !is_allowed {
+            self.metrics.denied_retries.inc();
+        }
+        if self.may_log(Kind::Failure) {
+            tracing::info!(
+                request = %request.id,
+                service = %request.service,
+                is_allowed,
+                retries = usage.retries,
+                requests = usage.requests,
+                instances,
+                "retry"
+            );
+        }
+        is_allowed
     }
 
     /// Runs an operation on the retry budget of a service, which is created on first use.
--- a/crates/vanillakeel-entry/src/gateway/watch.rs
+++ b/crates/vanillakeel-entry/src/gateway/watch.rs
@@ -22,6 +22,7 @@
         Position,
         ReadError, //
     },
+    log_reads::Answer,
     shared::Shared,
 };
 use vanillakeel::Millis;
@@ -71,9 +72,10 @@
     }
 
     /// Records the result of a read; logs the start and the end of an outage.
-    fn on_read(&mut self, shared: &Shared, asked_at: Millis, result: &Result<Page, ReadError>) {
+    fn on_read(&mut self, shared: &Shared, answer: &Answer) {
         let now = shared.clock.now();
-        let error = match result {
+        let asked_at = answer.asked_at;
+        let error = match &answer.result {
             Ok(_) | Err(ReadError::Compacted) => None,
             Err(e) => Some(e),
         };
@@ -82,7 +84,8 @@
             if self.lost_since.is_none() {
                 self.lost_since = Some(asked_at);
                 let read_ms = now.since(asked_at);
-                tracing::warn!(topic = self.topic, error = %e, read_ms, "log lost");
+                let received_bytes = answer.received_bytes;
+                tracing::warn!(topic = self.topic, error = %e, read_ms, received_bytes, "log lost");
             }
             self.was_lost = true;
         } else if let Some(since) = self.lost_since.take() {
--- a/crates/vanillakeel-entry/src/gateway/watch/configuration.rs
+++ b/crates/vanillakeel-entry/src/gateway/watch/configuration.rs
@@ -15,7 +15,6 @@
         },
         log_reads::{
             self,
-            Answer,
             ReadRequest, //
         },
         shared::Shared,
@@ -86,9 +85,9 @@
         if answer.shows_unreachable_log(shared.clock.now(), timing.store_answer_ms) {
             shared.on_read_failed(answer.asked_at);
         }
-        let Answer { asked_at, result } = answer;
-        status.on_read(&shared, asked_at, &result);
-        match result {
+        status.on_read(&shared, &answer);
+        let asked_at = answer.asked_at;
+        match answer.result {
             Ok(page) if !is_usable(&shared, &page, position) => {
                 // The newest records are read next, but not in a busy loop.
                 if position.take().is_none() {
--- a/crates/vanillakeel-entry/src/gateway/watch/upstreams.rs
+++ b/crates/vanillakeel-entry/src/gateway/watch/upstreams.rs
@@ -15,7 +15,6 @@
         },
         log_reads::{
             self,
-            Answer,
             ReadRequest, //
         },
         peers::MAX_READ_AGE_MS,
@@ -110,9 +109,10 @@
             is_retry: self.status.is_lost(),
             ..ReadRequest::default()
         };
-        let Answer { asked_at, result } = log_reads::read(shared.clock, log, req).await;
-        self.status.on_read(shared, asked_at, &result);
-        match result {
+        let answer = log_reads::read(shared.clock, log, req).await;
+        self.status.on_read(shared, &answer);
+        let asked_at = answer.asked_at;
+        match answer.result {
             Ok(page) if is_usable(shared, &page, self.position) => {
                 self.on_page(shared, log, &page, asked_at)
             }
--- a/crates/vanillakeel/src/attempt.rs
+++ b/crates/vanillakeel/src/attempt.rs
@@ -25,7 +25,8 @@
         Budget,
         BudgetSettings,
         WindowBudget,
-        WindowSettings, //
+        WindowSettings,
+        WindowUsage, //
     },
     pending::{
         Attempt,
--- a/crates/vanillakeel/src/attempt/budget.rs
+++ b/crates/vanillakeel/src/attempt/budget.rs
@@ -85,6 +85,15 @@
     }
 }
 
+/// What a [`WindowBudget`] holds at a time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WindowUsage {
+    /// Requests in the window.
+    pub requests: usize,
+    /// Retries in the window.
+    pub retries: usize,
+}
+
 /// One instance's part of a retry budget that all instances share, over a sliding window.
 ///
 /// The sum over all instances stays within the shared bound without messages between them, because
@@ -127,6 +136,15 @@
         has_one
     }
 
+    /// Returns the requests and retries that count now.
+    pub fn usage(&mut self, now: Millis) -> WindowUsage {
+        self.slide(now);
+        WindowUsage {
+            requests: self.requests.len(),
+            retries: self.retries.len(),
+        }
+    }
+
     fn slide(&mut self, now: Millis) {
         let start = now.minus(self.settings.window_ms);
         for times in [&mut self.requests, &mut self.retries] {
--- a/crates/vanillakeel/src/fleet.rs
+++ b/crates/vanillakeel/src/fleet.rs
@@ -37,6 +37,7 @@
 
 pub(crate) use self::upstream::RANK_COUNT;
 pub use self::{
+    admit::Overload,
     missing::MissingUpstreams,
     notices::CacheNotice,
     removed::RemovedUpstreams,
--- a/crates/vanillakeel/src/fleet/admit.rs
+++ b/crates/vanillakeel/src/fleet/admit.rs
@@ -16,6 +16,17 @@
 };
 use crate::Millis;
 
+/// prompts are queued for {wait_ms} ms, at most {limit_ms} ms are allowed; room is expected in {retry_after_ms} ms
+#[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
+pub struct Overload {
+    /// Time after which the caller may retry, in ms.
+    pub retry_after_ms: u64,
+    /// Expected wait at the chosen upstream, in ms.
+    pub wait_ms: u64,
+    /// Longest wait for which the request is admitted, in ms.
+    pub limit_ms: u64,
+}
+
 impl Fleet {
     /// Admits a request to the chosen upstream or to the one with the shortest wait, or refuses it.
     ///
@@ -32,14 +43,14 @@
     ///
     /// # Errors
     ///
-    /// Returns the time after which the caller of a refused request may retry, in ms: that by which
+    /// Returns the wait and its limit, and the time after which the caller may retry: that by which
     /// the wait exceeds the limit, but at least `Settings::min_retry_after_ms`.
     pub fn admit(
         &mut self,
         now: Millis,
         request: &RequestInfo<'_>,
         pick: Pick,
-    ) -> Result<Pick, u64> {
+    ) -> Result<Pick, Overload> {
         if request.prompt_tokens == 0 || request.target_ms == 0 {
             return Ok(pick);
         }
@@ -67,7 +78,11 @@
             .flatten();
         match other {
             Some(other) if other.wait_ms as f64 <= limit => Ok(other),
-            _ => Err((excess as u64).max(cfg.min_retry_after_ms)),
+            _ => Err(Overload {
+                retry_after_ms: (excess as u64).max(cfg.min_retry_after_ms),
+                wait_ms: pick.wait_ms,
+                limit_ms: limit as u64,
+            }),
         }
     }
 }
--- a/crates/vanillakeel/tests/refused_early.rs
+++ b/crates/vanillakeel/tests/refused_early.rs
@@ -25,7 +25,8 @@
 /// Sends a request if it is admitted.
 fn offer(fleet: &mut Fleet, request: &RequestInfo<'_>) -> Result<(), u64> {
     let pick = fleet.choose(NOW, request).expect("an upstream");
-    let pick = fleet.admit(NOW, request, pick)?;
+    let admitted = fleet.admit(NOW, request, pick);
+    let pick = admitted.map_err(|overload| overload.retry_after_ms)?;
     fleet.on_send(NOW, &pick, request);
     Ok(())
 }
