fix: a read of the log goes on while its answer arrives

Once a version takes about a second on a member's link, reads take from each other and none ends. The class: a time limit on work whose size grows, with a retry that starts over.

Fix: an answer is late while nothing of it arrives.

--- a/crates/vanillakeel-entry/src/gateway/log_reads.rs
+++ b/crates/vanillakeel-entry/src/gateway/log_reads.rs
@@ -4,9 +4,12 @@
 //! reads the log for this instance, or one on which a read waits for a new record. [`read`] therefore
 //! repeats a read whose answer is late on a new connection and takes the answer that comes first.
 //!
+//! An answer is late while nothing of it arrives. One that arrives slowly is not: it may be long, and a
+//! second transfer would take from the same link.
+//!
 //! ```ignore
 //! let req = ReadRequest { topic: Topic::Upstreams, ..ReadRequest::default() };
-//! let answer = log_reads::read(shared.clock, &log, req).await;
+//! let answer = log_reads::read(shared.clock, &log, req, &ReadProgress::default()).await;
 //! ```
 
 use super::log_adapter::{
@@ -25,7 +28,8 @@
 use tokio::time::timeout;
 use vanillakeel::Millis;
 
-/// Time after which an answer is late, in addition to the wait that the read asks for, in ms.
+/// Time without a byte after which an answer is late, in addition to the wait that the read asks for, in
+/// ms.
 pub(super) const ANSWER_DUE_MS: u64 = 300;
 
 /// What to read.
@@ -82,21 +86,28 @@
 }
 
 /// Reads from the log; repeats the read once on a new connection if the answer is late or missing.
-pub(super) async fn read(clock: Clock, log: &LogAdapter, req: ReadRequest) -> Answer {
+///
+/// `progress` shows how much of the first answer has arrived.
+pub(super) async fn read(
+    clock: Clock,
+    log: &LogAdapter,
+    req: ReadRequest,
+    progress: &ReadProgress,
+) -> Answer {
     if req.is_retry {
         (log.drop_idle)();
     }
-    let mut first = Box::pin(send(clock, log, req));
-    let due = Duration::from_millis(req.wait_ms + ANSWER_DUE_MS);
+    let mut first = Box::pin(send(clock, log, req, progress.clone()));
     let answer = if req.is_retry {
         first.await
     } else {
-        match timeout(due, &mut first).await {
-            Ok(answer) if answer.is_from_log() => return answer,
+        match answer_in_time(&mut first, req.wait_ms, progress).await {
+            Some(answer) if answer.is_from_log() => return answer,
             first_result => {
                 (log.drop_idle)();
-                let second = Box::pin(send(clock, log, ReadRequest { wait_ms: 0, ..req }));
-                if first_result.is_ok() {
+                let req = ReadRequest { wait_ms: 0, ..req };
+                let second = Box::pin(send(clock, log, req, ReadProgress::default()));
+                if first_result.is_some() {
                     second.await
                 } else {
                     first_answered(first, second).await
@@ -110,6 +121,24 @@
     answer
 }
 
+/// Returns the answer to a read, or `None` once it is late.
+async fn answer_in_time(
+    read: impl Future<Output = Answer> + Unpin,
+    wait_ms: u64,
+    progress: &ReadProgress,
+) -> Option<Answer> {
+    let mut read = read;
+    let mut due_ms = wait_ms + ANSWER_DUE_MS;
+    loop {
+        let received = progress.bytes();
+        match timeout(Duration::from_millis(due_ms), &mut read).await {
+            Ok(answer) => return Some(answer),
+            Err(_) if progress.bytes() == received => return None,
+            Err(_) => due_ms = ANSWER_DUE_MS,
+        }
+    }
+}
+
 /// Returns the first answer that comes from the log, or the failure of the second read.
 async fn first_answered(
     first: impl Future<Output = Answer> + Unpin,
@@ -130,9 +159,8 @@
     }
 }
 
-async fn send(clock: Clock, log: &LogAdapter, req: ReadRequest) -> Answer {
+async fn send(clock: Clock, log: &LogAdapter, req: ReadRequest, progress: ReadProgress) -> Answer {
     let asked_at = clock.now();
-    let progress = ReadProgress::default();
     let result = match req.from {
         None => read_all_newest(log, req.topic, &progress).await,
         Some(from) => (log.read_from)(req.topic, from, req.wait_ms, progress.clone()).await,
--- a/crates/vanillakeel-entry/src/gateway/watch/configuration.rs
+++ b/crates/vanillakeel-entry/src/gateway/watch/configuration.rs
@@ -11,6 +11,7 @@
             Page,
             Position,
             ReadError,
+            ReadProgress,
             Topic, //
         },
         log_reads::{
@@ -50,33 +51,37 @@
     let mut newest = NewestRead::default();
     loop {
         position = position.filter(|p| p.era == shared.log_era());
-        if position.is_some() && is_confirmed_by_hub(&shared) {
+        let mut is_announced = false;
+        let is_behind = || {
+            let now = shared.clock.now();
+            shared.in_force.borrow().superseded_by(now).is_some()
+        };
+        if position.is_some() && is_confirmed_by_hub(&shared) && !is_behind() {
             let pause = Duration::from_millis(COVERED_POLL_MS);
-            if timeout(pause, shared.newer_version.notified())
-                .await
-                .is_err()
-            {
+            let announced = timeout(pause, shared.newer_version.notified()).await;
+            if announced.is_err() {
                 continue;
             }
-            position = None;
+            is_announced = true;
         }
         let is_retry = status.is_lost();
         let timing = shared.settings.borrow().timing;
         let req = ReadRequest {
             topic: Topic::Configuration,
             from: position.map(|p| p.offset),
-            wait_ms: if is_retry || position.is_none() {
+            wait_ms: if is_retry || position.is_none() || is_announced {
                 0
             } else {
                 timing.configuration_read_wait_ms()
             },
             is_retry,
         };
+        let progress = ReadProgress::default();
         let answer = tokio::select! {
-            answer = log_reads::read(shared.clock, &log, req) => answer,
+            answer = log_reads::read(shared.clock, &log, req, &progress) => answer,
             // Another instance has a newer version: the read that waits for it here may be on a dead
             // connection.
-            () = shared.newer_version.notified(), if position.is_some() => {
+            () = announced_before_answer(&shared, &progress), if position.is_some() => {
                 position = None;
                 continue;
             }
@@ -106,6 +111,7 @@
                     shared.confirm_newest(asked_at, &me);
                 }
                 if !page.is_up_to_date && !has_progress {
+                    position = None;
                     sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
                 }
             }
@@ -115,6 +121,18 @@
     }
 }
 
+/// Waits until a newer version is announced while nothing of the answer to a read has arrived.
+///
+/// An answer that has begun to arrive brings that version or one before it.
+async fn announced_before_answer(shared: &Shared, progress: &ReadProgress) {
+    loop {
+        shared.newer_version.notified().await;
+        if progress.bytes() == 0 {
+            return;
+        }
+    }
+}
+
 /// Returns whether a hub covers this instance and has recently confirmed the version in force.
 ///
 /// The age of the confirmation is the one known here: a hub may confirm another version or none.
--- a/crates/vanillakeel-entry/src/gateway/watch/upstreams.rs
+++ b/crates/vanillakeel-entry/src/gateway/watch/upstreams.rs
@@ -11,6 +11,7 @@
             Page,
             Position,
             ReadError,
+            ReadProgress,
             Topic, //
         },
         log_reads::{
@@ -109,7 +110,7 @@
             is_retry: self.status.is_lost(),
             ..ReadRequest::default()
         };
-        let answer = log_reads::read(shared.clock, log, req).await;
+        let answer = log_reads::read(shared.clock, log, req, &ReadProgress::default()).await;
         self.status.on_read(shared, &answer);
         let asked_at = answer.asked_at;
         match answer.result {
