fix: a request is refused only if less urgent ones are refused, too

Cause: who is refused was decided by one request against its own limit and in its own group of upstreams. Short prompts were refused while their group was full although the other one took long prompts, and a tight target is refused where a loose one still joins the queue. Besides, the expected wait took a slot that more urgent calls free for one of the request's own, so that less urgent ones were sent to upstreams that urgent ones keep full, and stayed there until their deadline. The class: that less urgent requests stand back is a property of no decision.

Fix: the limit of a request is at most that of any more urgent one; before a refusal all upstreams of the service are considered; a long prompt may also go elsewhere if less urgent long ones arrive. The expected wait counts only slots that more urgent calls leave and the queue that forms at high utilisation.

--- a/crates/vanillakeel/src/fleet/admit.rs
+++ b/crates/vanillakeel/src/fleet/admit.rs
@@ -2,10 +2,16 @@
 //!
 //! An engine schedules more urgent requests first, so a request waits for the prefill of those that
 //! are at least as urgent. A prefill that has started is not preempted and delays every later
-//! request. The queue that a request may join is therefore bounded by its own target and, if its
-//! prompt is long, by tighter targets of other requests with long prompts; [`Fleet::admit`] gives
-//! the exact rule. A refusal is immediate and counts as not run; it carries the time after which
-//! the queue should be short enough.
+//! request. The queue that a request may join is therefore bounded by its own target and by tighter
+//! targets of more urgent requests; [`Fleet::admit`] gives the exact rule. A refusal is immediate and
+//! counts as not run; it carries the time after which the queue should be short enough.
+//!
+//! A request is refused only if every less urgent one of its size or longer would be refused as well, by
+//! what the instance knows at that time:
+//!
+//! - its expected wait at an upstream is at most theirs, since it waits for fewer others,
+//! - its limit is at least theirs, and
+//! - it is tried at each upstream that would take them.
 
 use super::{
     request::{
@@ -31,15 +37,17 @@
     /// Admits a request to the chosen upstream or to the one with the shortest wait, or refuses it.
     ///
     /// A request without a prompt or a target is always admitted. For any other, the expected wait
-    /// is limited in two ways:
+    /// is limited to the least of:
     ///
-    /// - to a multiple of its own target, and
-    /// - for a long prompt, to a multiple of the tightest target among recent long prompts that are
-    ///   at least as urgent, if that is tighter than its own.
+    /// - a multiple of its own target,
+    /// - that of the tightest target among recent requests that are more urgent, and
+    /// - for a long prompt, a smaller multiple of the tightest target among recent long prompts that
+    ///   are at least as urgent, if that is tighter than its own.
     ///
-    /// If the wait at the chosen upstream is above the limit, the request is refused. The exception
-    /// is a request to which only the first limit applies: it goes to the upstream with the
-    /// shortest wait if that wait is within the limit.
+    /// If the wait at the chosen upstream is above the limit, the request goes to the upstream with the
+    /// shortest wait if that is within the limit: one of its own group, or else any. The exception is a
+    /// request to which the last limit applies while no less urgent ones with long prompts arrive:
+    /// computing its cached prefix elsewhere would only cost more urgent requests time.
     ///
     /// # Errors
     ///
@@ -56,12 +64,15 @@
         }
         let rank = request.rank_index();
         let is_short_prompt = self.is_short_prompt(request);
-        if !is_short_prompt {
-            self.targets_mut().record(now, rank, request.target_ms);
-        }
+        self.targets_mut()
+            .record(now, rank, request.target_ms, is_short_prompt);
         let cfg = self.settings();
-        let own_limit = request.target_ms as f64 * cfg.own_target_factor;
-        let tightest = self.targets().tightest_up_to(now, rank, request.target_ms);
+        let targets = self.targets();
+        let target_ms = targets
+            .tightest_above(now, rank)
+            .map_or(request.target_ms, |ms| ms.min(request.target_ms));
+        let own_limit = target_ms as f64 * cfg.own_target_factor;
+        let tightest = targets.tightest_long_up_to(now, rank, request.target_ms);
         let urgent_target_ms = tightest.filter(|_| !is_short_prompt);
         let limit = urgent_target_ms.map_or(own_limit, |ms| {
             own_limit.min(ms as f64 * cfg.urgent_target_factor)
@@ -70,15 +81,13 @@
         if excess <= 0.0 {
             return Ok(pick);
         }
-        // Recomputing a cached prefix elsewhere costs other requests time, so a request limited by
-        // the tighter target of others is refused rather than sent to an upstream without the prefix.
-        let other = urgent_target_ms
-            .is_none()
-            .then(|| self.shortest_wait(now, request))
+        let may_go_elsewhere = urgent_target_ms.is_none() || targets.has_long_below(now, rank);
+        let other = may_go_elsewhere
+            .then(|| self.shortest_wait_within(now, request, limit))
             .flatten();
         match other {
-            Some(other) if other.wait_ms as f64 <= limit => Ok(other),
-            _ => Err(Overload {
+            Some(other) => Ok(other),
+            None => Err(Overload {
                 retry_after_ms: (excess as u64).max(cfg.min_retry_after_ms),
                 wait_ms: pick.wait_ms,
                 limit_ms: limit as u64,
--- a/crates/vanillakeel/src/fleet/choose.rs
+++ b/crates/vanillakeel/src/fleet/choose.rs
@@ -93,16 +93,27 @@
         !self.eligible_group(now, request).is_empty()
     }
 
-    /// Returns the upstream with the shortest wait, whether or not it has the prompt cached.
-    pub(super) fn shortest_wait(&self, now: Millis, request: &RequestInfo<'_>) -> Option<Pick> {
-        let group = self.eligible_group(now, request);
+    /// Returns the upstream with the shortest wait, whether or not it has the prompt cached, if that wait
+    /// is within a limit in ms.
+    ///
+    /// It is one of the request's own group, or else any that may run it.
+    pub(super) fn shortest_wait_within(
+        &self,
+        now: Millis,
+        request: &RequestInfo<'_>,
+        limit: f64,
+    ) -> Option<Pick> {
         let sources = self.cache_sources(request, None);
-        let candidates = group
-            .iter()
-            .map(|u| self.candidate(request, u, &sources, NOT_PREFERRED));
-        candidates
-            .min_by(|a, b| a.wait_ms.total_cmp(&b.wait_ms))
-            .map(|best| self.pick(request, &best))
+        let shortest = |upstreams: Vec<&Upstream>| {
+            let candidates = upstreams
+                .into_iter()
+                .map(|u| self.candidate(request, u, &sources, NOT_PREFERRED));
+            candidates
+                .min_by(|a, b| a.wait_ms.total_cmp(&b.wait_ms))
+                .filter(|best| best.wait_ms <= limit)
+                .map(|best| self.pick(request, &best))
+        };
+        shortest(self.eligible_group(now, request)).or_else(|| shortest(self.usable(now, request)))
     }
 
     /// Returns the pick of a candidate, with the source from which it fetches what it lacks.
@@ -216,19 +227,32 @@
     /// Returns the expected wait at an upstream until a new prompt's prefill can start, in ms.
     ///
     /// Only calls that are at least as urgent count. The wait is the sum of the prefill of their
-    /// prompts, a cost for the share of slots that they occupy, and, if they fill all slots, the
-    /// time until one is free.
+    /// prompts, a cost for the share of slots that they occupy, the mean time until a slot is free if
+    /// such calls go on arriving, and, if they fill all slots, the time until their queue is gone. A slot
+    /// that a more urgent call frees goes to the next one of these, so only the other slots count for
+    /// that queue.
     fn wait_ms(&self, request: &RequestInfo<'_>, upstream: &Upstream) -> f64 {
         let cfg = self.settings();
-        let calls = f64::from(upstream.calls_up_to(request.rank_index()));
+        let rank = request.rank_index();
+        let calls = f64::from(upstream.calls_up_to(rank));
+        let more_urgent = f64::from(upstream.calls_above(rank));
         let slots = f64::from(upstream.listed.slots.max(1));
         let queued = (calls + 1.0 - slots).max(0.0);
-        upstream.prefill_tokens_up_to(request.rank_index()) as f64 * self.prefill_ms_per_token()
+        let left_slots = (slots - more_urgent).max(1.0);
+        upstream.prefill_tokens_up_to(rank) as f64 * self.prefill_ms_per_token()
             + calls * cfg.occupancy_cost_ms / slots
-            + queued * upstream.mean_call_ms / slots
+            + queueing_factor(calls.min(slots - 1.0), slots) * upstream.mean_call_ms
+            + queued * upstream.mean_call_ms / left_slots
     }
 }
 
+/// Returns the mean wait for a slot in multiples of the mean duration of a call, while `calls` slots are
+/// occupied on average: Sakasegawa's approximation for a queue with several servers.
+fn queueing_factor(calls: f64, slots: f64) -> f64 {
+    let utilisation = calls / slots;
+    utilisation.powf((2.0 * (slots + 1.0)).sqrt() - 1.0) / (slots - calls)
+}
+
 /// Returns the rendezvous weight of an upstream for a shared prefix.
 fn rendezvous_weight(affinity_key: u64, upstream: u32) -> u64 {
     let mut bytes = [0; 12];
--- a/crates/vanillakeel/src/fleet/groups.rs
+++ b/crates/vanillakeel/src/fleet/groups.rs
@@ -39,11 +39,14 @@
         group
     }
 
+    /// Returns the upstreams of all groups that may take this request.
+    pub(super) fn usable(&self, now: Millis, request: &RequestInfo<'_>) -> Vec<&Upstream> {
+        let of_service = self.of_service(request.service);
+        of_service.filter(|u| u.is_usable(now, request)).collect()
+    }
+
     fn usable_group(&self, now: Millis, request: &RequestInfo<'_>) -> Vec<&Upstream> {
-        let usable = |u: &&Upstream| {
-            let has_room = u.load.total_calls() < u.health.max_in_flight(now);
-            has_room && u.may_run(request)
-        };
+        let usable = |u: &&Upstream| u.is_usable(now, request);
         let all: Vec<_> = self
             .of_service(request.service)
             .filter(|u| u.is_live())
--- a/crates/vanillakeel/src/fleet/upstream.rs
+++ b/crates/vanillakeel/src/fleet/upstream.rs
@@ -5,6 +5,7 @@
     request::RequestInfo, //
 };
 use crate::{
+    Millis,
     membership::State,
     order,
     routing::Health, //
@@ -129,7 +130,12 @@
 
     /// Returns the calls in flight of all instances, of `rank` and more urgent ones.
     pub(super) fn calls_up_to(&self, rank: usize) -> u32 {
-        let sum = |load: &RankLoad| load.calls[..=rank].iter().sum::<u32>();
+        self.calls_above(rank + 1)
+    }
+
+    /// Returns the calls in flight of all instances that are more urgent than `rank`.
+    pub(super) fn calls_above(&self, rank: usize) -> u32 {
+        let sum = |load: &RankLoad| load.calls[..rank].iter().sum::<u32>();
         sum(&self.load) + sum(&self.remote)
     }
 
@@ -153,6 +159,12 @@
         self.listed.state == State::Live
     }
 
+    /// Returns whether the upstream may run a request now.
+    pub(super) fn is_usable(&self, now: Millis, request: &RequestInfo<'_>) -> bool {
+        let has_room = self.load.total_calls() < self.health.max_in_flight(now);
+        has_room && self.may_run(request)
+    }
+
     /// Returns whether the upstream accepts new work, has not been tried and runs software that may
     /// run the request.
     pub(super) fn may_run(&self, request: &RequestInfo<'_>) -> bool {
--- a/crates/vanillakeel/tests/refused_by_rank.rs
+++ b/crates/vanillakeel/tests/refused_by_rank.rs
@@ -7,6 +7,7 @@
 
 use fleets::{
     fleet,
+    listed,
     ranked_request, //
 };
 use rstest::rstest;
@@ -18,6 +19,11 @@
         PromptSegment,
         RequestInfo, //
     },
+    mesh::{
+        Load,
+        Loads, //
+    },
+    order,
 };
 
 const UPSTREAMS: usize = 12;
@@ -87,3 +93,27 @@
     }
     assert!(refused > 100, "{refused} requests refused");
 }
+
+/// Urgent calls occupy nearly all slots of an upstream, while another one has half of its slots free and
+/// a short queue of prefill.
+///
+/// Guards against less urgent requests that all go where a slot is free at that moment: the urgent ones
+/// that arrive meanwhile take it, and they wait there until their deadline.
+#[test]
+fn nearly_full_upstream() {
+    let mut fleet = fleet(2, 1);
+    let mut loads = Loads::default();
+    for (at, calls, prefill_tokens) in [(0, 46, 0), (1, 24, 6_000)] {
+        loads.add(Load {
+            upstream: order::hash(&listed(at).name) as u32,
+            rank: 0,
+            calls,
+            prefill_tokens,
+        });
+    }
+    fleet.set_remote(&loads);
+    let prompt = segments(800, 1);
+    let request = ranked_request(&prompt, 1, 400);
+    let pick = fleet.choose(Millis::new(100_000), &request);
+    assert_eq!(pick.map(|p| p.name), Some(listed(1).name));
+}
