test: schedules of the retry budget that instances share

Instances spend as much as their part of the budget allows, while they are killed and restarted in series, join, leave and are cut off from each other; a count from outside checks each window.

--- a/crates/vanillakeel-bench/src/faults.rs
+++ b/crates/vanillakeel-bench/src/faults.rs
@@ -4,9 +4,10 @@
 //! share a `faulty_log`, which loses requests and answers, delays records and is trimmed.
 //! Instances are cut off from the log, pause, crash and restart at random.
 //!
-//! `claims`, `configs`, `leases`, `restored_list`, `restored_log` and `streams` each check the invariants of
+//! `budgets`, `claims`, `configs`, `leases`, `restored_list`, `restored_log` and `streams` each check the invariants of
 //! one part, and `command` runs them and is the command-line interface. A seed always gives the same schedule.
 
+mod budgets;
 mod claims;
 mod command;
 mod configs;
--- a/crates/vanillakeel-bench/src/faults/command.rs
+++ b/crates/vanillakeel-bench/src/faults/command.rs
@@ -2,6 +2,7 @@
 
 use super::{
     Guards,
+    budgets,
     claims,
     configs,
     leases,
@@ -20,7 +21,7 @@
 
 /// Faults found over all schedules.
 ///
-/// The counts `runs`, `versions`, `orders`, `holders`, `streams`, `continued_streams`,
+/// The counts `retries`, `runs`, `versions`, `orders`, `holders`, `streams`, `continued_streams`,
 /// `unknown_streams` and `restored` are not faults; they show that the schedules did exercise the library.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct Totals {
@@ -53,6 +54,10 @@
     pub unknown_upstreams: u64,
     /// Upstreams that an instance still knew some seconds later although they were no longer listed.
     pub kept_upstreams: u64,
+    /// Times that all instances together had made more retries in a window than their budget allows.
+    pub overspent: u64,
+    /// Retries that the budgets allowed.
+    pub retries: u64,
     /// Runs of requests with an idempotency key.
     pub runs: u64,
     /// Configuration versions that came into force.
@@ -97,6 +102,7 @@
 pub fn run_schedules(first_seed: u64, schedules: u64, steps: u64, guards: Guards) -> Totals {
     let mut totals = Totals::default();
     for seed in first_seed..first_seed.saturating_add(schedules) {
+        let budgets = budgets::run(seed, steps, guards);
         let claims = claims::run(seed, steps, guards);
         let configs = configs::run(seed, steps, guards);
         let leases = leases::run(seed, steps, guards);
@@ -104,6 +110,8 @@
         let restored_log = restored_log::run(seed, steps, guards);
         let streams = streams::run(seed, steps, guards);
         totals.schedules += 1;
+        totals.overspent += budgets.overspent;
+        totals.retries += budgets.retries;
         totals.doubled += claims.doubled;
         totals.false_not_run += claims.false_not_run;
         totals.runs += claims.runs;
--- a/crates/vanillakeel-bench/tests/random_schedules.rs
+++ b/crates/vanillakeel-bench/tests/random_schedules.rs
@@ -25,6 +25,15 @@
     assert!(totals.restored > SCHEDULES, "{totals:?}");
 }
 
+/// Guards against retries of all instances together above the bound that they share, after cuts between
+/// them, and kills and joins in series.
+#[test]
+fn no_overspent_budget() {
+    let totals = run_schedules(SEED, SCHEDULES, STEPS, Guards::default());
+    assert!(totals.retries > SCHEDULES * STEPS, "{totals:?}");
+    assert_eq!(totals.overspent, 0, "{totals:?}");
+}
+
 /// Guards against checks that miss a fault: with a safeguard of the library turned off, the checks
 /// have to count the fault that it prevents.
 #[rstest]
