fix: all instances that may be alive share the retry budget

Cause: each instance took the slack divided by the number of instances that it heard at that moment. In a cut each side took it all, a process that started took its part again, and 16 instances were assumed while the number was unknown. The class: a limit shared without messages holds only while each holder knows how many share it and what its own place has spent before.

Fix: all known instances count, heard or not, and those that left for as long as a window; nothing of the slack is used until the list of peers is read and a peer knows the instance, nor in a process's first window (retries.slack_after_ms); a tenth stays unspent for requests and retries that fall into different windows. The limit on connections to an upstream is divided by the same number.

With either safeguard off the schedules find the fault (missing_guard_found).

--- a/crates/vanillakeel-bench/src/faults/budgets.rs
+++ b/crates/vanillakeel-bench/src/faults/budgets.rs
@@ -48,13 +48,17 @@
 /// Most requests that an instance gets in a step.
 const MAX_REQUESTS: u64 = 4;
 
+/// Bound on the retries of all instances together.
 const BUDGET: WindowSettings = WindowSettings {
     ratio: 0.2,
     slack: 56.0,
     window_ms: WINDOW_STEPS as u64 * STEP_MS,
 };
 
-/// Number of instances that is assumed while the real number is unknown.
+/// Share of its part of the budget that an instance spends.
+const SPENT_SHARE: f64 = 0.9;
+
+/// Number of instances that a process without the safeguard assumes while it hears of none.
 const ASSUMED_INSTANCES: u32 = 16;
 
 /// A running process of an instance.
@@ -104,6 +108,7 @@
 /// State of a schedule.
 struct Simulation {
     random: Random,
+    peers: Vec<Peer>,
     guards: Guards,
     now: Millis,
     instances: Vec<Instance>,
@@ -121,6 +126,7 @@
     };
     let mut simulation = Simulation {
         random: Random::new(seed),
+        peers: (0..INSTANCES).map(peer).collect(),
         guards,
         now: Millis::ZERO,
         instances: (0..INSTANCES).map(instance).collect(),
@@ -230,21 +236,32 @@
 
     /// Starts a process, which reads the list of peers and introduces itself.
     fn boot(&mut self, index: usize) {
-        let mut mesh = Mesh::new(peer(index), MeshSettings::default());
+        let mut mesh = Mesh::new(self.peers[index].clone(), MeshSettings::default());
         self.instances[index].is_registered = true;
         for other in (0..INSTANCES).filter(|i| *i != index) {
             if self.instances[other].is_registered {
-                mesh.on_peer(&peer(other));
+                mesh.on_peer(&self.peers[other]);
             }
             if self.is_delivered(index, other)
                 && let Ok(process) = &mut self.instances[other].process
             {
-                process.mesh.on_peer(&peer(index));
+                process.mesh.on_peer(&self.peers[index]);
             }
         }
+        mesh.on_list_read();
+        let spent = WindowSettings {
+            ratio: BUDGET.ratio * SPENT_SHARE,
+            slack: BUDGET.slack * SPENT_SHARE,
+            ..BUDGET
+        };
+        let slack_from = if self.guards.starts_without_slack {
+            self.now.plus(BUDGET.window_ms)
+        } else {
+            Millis::ZERO
+        };
         self.instances[index].process = Ok(Process {
             mesh,
-            budget: WindowBudget::new(BUDGET),
+            budget: WindowBudget::new(spent, slack_from),
         });
     }
 
@@ -256,7 +273,7 @@
     }
 
     fn index_of(&self, name: &str) -> usize {
-        let found = (0..INSTANCES).find(|i| *peer(*i).name == *name);
+        let found = self.peers.iter().position(|p| *p.name == *name);
         found.expect("all peers are instances")
     }
 
@@ -271,7 +288,7 @@
             if self.is_delivered(index, hub)
                 && let Ok(process) = &mut self.instances[hub].process
             {
-                process.mesh.on_left(&peer(index).name);
+                process.mesh.on_left(&self.peers[index].name);
             }
         }
     }
@@ -282,7 +299,8 @@
         let Ok(process) = &mut self.instances[index].process else {
             return;
         };
-        process.mesh.extrapolation_factor(now);
+        // The number is remembered from report to report.
+        let _ = process.mesh.sharing_instances(now);
         let hub = process.mesh.hub(now).cloned();
         if let Some(hub) = hub {
             process.mesh.on_sent(now, &hub.name);
@@ -292,7 +310,7 @@
                 if self.is_delivered(hub, index)
                     && let Ok(process) = &mut self.instances[index].process
                 {
-                    process.mesh.on_summary(now, &peer(hub).name, answer);
+                    process.mesh.on_summary(now, &self.peers[hub].name, answer);
                 }
             }
         }
@@ -304,10 +322,14 @@
         let Ok(process) = &mut self.instances[hub].process else {
             return Summary::default();
         };
-        let name = peer(member).name;
-        process.mesh.on_peer(&peer(member));
-        process.mesh.on_report(now, &name, Loads::default(), true);
-        let (_, own) = process.mesh.own_data_centre(now, &Loads::default(), &name);
+        let member = &self.peers[member];
+        process.mesh.on_peer(member);
+        process
+            .mesh
+            .on_report(now, &member.name, Loads::default(), true);
+        let (_, own) = process
+            .mesh
+            .own_data_centre(now, &Loads::default(), &member.name);
         Summary {
             is_fresh: true,
             instances: own + process.mesh.other_data_centres(now).1,
@@ -343,7 +365,11 @@
 }
 
 /// Takes a retry from the budget of an instance; returns whether it was allowed.
-fn take_retry(process: &mut Process, now: Millis, _guards: Guards) -> bool {
-    let instances = process.mesh.instances(now).unwrap_or(ASSUMED_INSTANCES);
+fn take_retry(process: &mut Process, now: Millis, guards: Guards) -> bool {
+    let instances = if guards.counts_unheard {
+        process.mesh.sharing_instances(now)
+    } else {
+        Some(process.mesh.instances(now).unwrap_or(ASSUMED_INSTANCES))
+    };
     process.budget.take(now, instances)
 }
--- a/crates/vanillakeel-bench/src/faults/claims.rs
+++ b/crates/vanillakeel-bench/src/faults/claims.rs
@@ -63,6 +63,10 @@
     pub follows_era: bool,
     /// An answer counts from the time at which its read was sent.
     pub dates_reads: bool,
+    /// Instances that are not heard share the retry budget.
+    pub counts_unheard: bool,
+    /// A process takes nothing of the slack in its first window.
+    pub starts_without_slack: bool,
 }
 
 impl Default for Guards {
@@ -75,6 +79,8 @@
             reads_list_first: true,
             follows_era: true,
             dates_reads: true,
+            counts_unheard: true,
+            starts_without_slack: true,
         }
     }
 }
--- a/crates/vanillakeel-bench/src/faults/command.rs
+++ b/crates/vanillakeel-bench/src/faults/command.rs
@@ -94,6 +94,7 @@
             && self.returned == 0
             && self.unknown_upstreams == 0
             && self.kept_upstreams == 0
+            && self.overspent == 0
     }
 }
 
--- a/crates/vanillakeel-bench/tests/random_schedules.rs
+++ b/crates/vanillakeel-bench/tests/random_schedules.rs
@@ -47,6 +47,8 @@
 #[case::era_of_list(Guards { follows_era: false, ..Guards::default() }, |t: &Totals| t.wrongly_removed)]
 #[case::era_of_removals(Guards { follows_era: false, ..Guards::default() }, |t: &Totals| t.returned)]
 #[case::old_answer(Guards { dates_reads: false, ..Guards::default() }, |t: &Totals| t.wrongly_removed)]
+#[case::unheard_instances(Guards { counts_unheard: false, ..Guards::default() }, |t: &Totals| t.overspent)]
+#[case::slack_again(Guards { starts_without_slack: false, ..Guards::default() }, |t: &Totals| t.overspent)]
 fn missing_guard_found(#[case] guards: Guards, #[case] count: fn(&Totals) -> u64) {
     let totals = run_schedules(SEED, SCHEDULES, STEPS, guards);
     assert!(count(&totals) > 0, "{totals:?}");
--- a/crates/vanillakeel-entry/src/gateway/metrics.rs
+++ b/crates/vanillakeel-entry/src/gateway/metrics.rs
@@ -78,6 +78,7 @@
     pub(super) confirmation_age_ms: Gauge,
     pub(super) upstreams: Gauge,
     pub(super) peers: Gauge,
+    pub(super) sharing_instances: Gauge,
     pub(super) covered: Gauge,
     pub(super) known_streams: Gauge,
 }
@@ -104,6 +105,7 @@
             confirmation_age_ms: Gauge::default(),
             upstreams: Gauge::default(),
             peers: Gauge::default(),
+            sharing_instances: Gauge::default(),
             covered: Gauge::default(),
             known_streams: Gauge::default(),
         };
@@ -194,6 +196,11 @@
         );
         registry.register("upstreams", "Upstreams known", self.upstreams.clone());
         registry.register("peers", "Other instances known", self.peers.clone());
+        registry.register(
+            "sharing_instances",
+            "Instances that share limits, including this one; 0 while their number is unknown",
+            self.sharing_instances.clone(),
+        );
         registry.register(
             "covered",
             "Whether a hub reads the log for this instance",
--- a/crates/vanillakeel-entry/src/gateway/peers.rs
+++ b/crates/vanillakeel-entry/src/gateway/peers.rs
@@ -113,6 +113,7 @@
             }
         }
     }
+    shared.mesh.borrow_mut().on_list_read();
     tracing::info!(peers = shared.mesh.borrow().len(), "peers known");
     // The address may have been written after the copy from which the log came back.
     while shared.stopping_since.get().is_none() {
@@ -183,6 +184,9 @@
             shared.mesh.borrow_mut().on_sent(now, &hub.name);
             send_message(shared, socket, &hub, load_report(shared)).await;
         }
+        // The mesh remembers the largest number from report to report.
+        let sharing = shared.mesh.borrow_mut().sharing_instances(now).unwrap_or(0);
+        shared.metrics.sharing_instances.set(i64::from(sharing));
         let factor = shared.mesh.borrow_mut().extrapolation_factor(now);
         shared.fleet.borrow_mut().set_extrapolation_factor(factor);
         if shared.mesh.borrow().is_hub(now) {
--- a/crates/vanillakeel-entry/src/gateway/request.rs
+++ b/crates/vanillakeel-entry/src/gateway/request.rs
@@ -358,7 +358,10 @@
     let rank = table.rank(workspace, route);
     set(&names.priority, &rank.to_string());
     let max_connections = table.service(service).map_or(1, |s| s.max_connections);
-    let instances = shared.instances().max(1);
+    let instances = shared
+        .sharing_instances()
+        .unwrap_or_else(|| shared.settings.borrow().retries.instances)
+        .max(1);
     let path = head.uri.path_and_query().map_or("/", |p| p.as_str());
     Ok(RoutedRequest {
         prompt_segments: parse_prompt_segments(headers::str_value(
--- a/crates/vanillakeel-entry/src/gateway/settings.rs
+++ b/crates/vanillakeel-entry/src/gateway/settings.rs
@@ -183,8 +183,13 @@
     pub slack: f64,
     /// Length of the window in ms.
     pub window_ms: u64,
-    /// Assumed number of instances that share the slack while the real number is unknown.
+    /// Number of instances that share the slack, where they do not exchange load; otherwise the assumed
+    /// number of those that share connections to upstreams until the real one is known.
     pub instances: u32,
+    /// Time after the start of the process from which it uses the slack, in ms. Without this setting it is
+    /// `window_ms` where instances exchange load, as an earlier process may have used the same part, and
+    /// otherwise zero.
+    pub slack_after_ms: Option<u64>,
 }
 
 impl Default for Retries {
@@ -194,6 +199,7 @@
             slack: 50.0,
             window_ms: 10_000,
             instances: 16,
+            slack_after_ms: None,
         }
     }
 }
--- a/crates/vanillakeel-entry/src/gateway/shared.rs
+++ b/crates/vanillakeel-entry/src/gateway/shared.rs
@@ -89,6 +89,10 @@
 /// The repetition makes up for lost datagrams.
 const CHANGE_ANNOUNCED_MS: u64 = 3_000;
 
+/// Share of its part of a retry budget that one of several instances spends. The rest covers retries that arrive later
+/// than they are taken, and requests whose number peaks at different times at different instances.
+const SPENT_SHARE: f64 = 0.9;
+
 /// Returns the limits on the age of a confirmation that the settings give.
 const fn freshness_of(settings: &Settings) -> Freshness {
     let timing = settings.timing;
@@ -395,10 +399,14 @@
         self.metrics.encode_page()
     }
 
-    /// Returns the number of instances that share limits, including this one.
-    pub(super) fn instances(&self) -> u32 {
-        let from_mesh = self.mesh.borrow().instances(self.clock.now());
-        from_mesh.unwrap_or_else(|| self.settings.borrow().retries.instances)
+    /// Returns the number of instances that share limits, including this one, or `None` while it is not
+    /// known.
+    pub(super) fn sharing_instances(&self) -> Option<u32> {
+        let settings = self.settings.borrow();
+        if settings.listen.peers.is_none() {
+            return Some(settings.retries.instances);
+        }
+        self.mesh.borrow_mut().sharing_instances(self.clock.now())
     }
 
     /// Returns when a caller may retry whom this instance refuses because it has lost contact with the
@@ -465,7 +473,7 @@
     /// it.
     pub(super) fn take_retry(&self, request: &RoutedRequest) -> bool {
         let now = self.clock.now();
-        let instances = self.instances();
+        let instances = self.sharing_instances();
         let (is_allowed, usage) = self.with_retry_budget(&request.service, |b| {
             let is_allowed = b.take(now, instances);
             (is_allowed, b.usage(now))
@@ -498,11 +506,20 @@
             Ok(at) => at,
             Err(at) => {
                 let cfg = self.settings.borrow().retries;
-                let budget = WindowBudget::new(WindowSettings {
-                    ratio: cfg.ratio,
-                    slack: cfg.slack,
+                let has_peers = self.settings.borrow().listen.peers.is_some();
+                let (share, slack_after_ms) = if has_peers {
+                    (SPENT_SHARE, cfg.window_ms)
+                } else {
+                    (1.0, 0)
+                };
+                let window = WindowSettings {
+                    ratio: cfg.ratio * share,
+                    slack: cfg.slack * share,
                     window_ms: cfg.window_ms,
-                });
+                };
+                // The clock starts with the process.
+                let slack_from = Millis::new(cfg.slack_after_ms.unwrap_or(slack_after_ms));
+                let budget = WindowBudget::new(window, slack_from);
                 retry_budgets.insert(at, (Arc::clone(service), budget));
                 at
             }
--- a/crates/vanillakeel/src/attempt/budget.rs
+++ b/crates/vanillakeel/src/attempt/budget.rs
@@ -96,21 +96,26 @@
 
 /// One instance's part of a retry budget that all instances share, over a sliding window.
 ///
-/// The sum over all instances stays within the shared bound without messages between them, because
-/// each instance applies the ratio to its own requests only and takes an equal part of the slack.
+/// The sum over all instances stays within the shared bound without messages about retries, because
+/// each instance applies the ratio to its own requests only and takes an equal part of the slack. A
+/// process of several takes nothing of the slack during its first window, since an earlier process of the
+/// same instance may have spent that part, or the other instances a larger one before this one joined.
 #[derive(Clone, Debug, Default)]
 pub struct WindowBudget {
     settings: WindowSettings,
+    /// Time after which the slack counts.
+    slack_from: Millis,
     requests: VecDeque<Millis>,
     retries: VecDeque<Millis>,
 }
 
 impl WindowBudget {
-    /// Creates a budget with an empty window.
+    /// Creates a budget with an empty window, which takes nothing of the slack up to `slack_from`.
     #[must_use]
-    pub fn new(settings: WindowSettings) -> Self {
+    pub fn new(settings: WindowSettings, slack_from: Millis) -> Self {
         Self {
             settings,
+            slack_from,
             ..Self::default()
         }
     }
@@ -123,11 +128,12 @@
 
     /// Takes one retry from the window; returns whether one was left.
     ///
-    /// `instances` is the number of instances that share the budget.
+    /// `instances` is the number of instances that share the budget, or `None` while it is not known.
     #[must_use]
-    pub fn take(&mut self, now: Millis, instances: u32) -> bool {
+    pub fn take(&mut self, now: Millis, instances: Option<u32>) -> bool {
         self.slide(now);
-        let slack_share = self.settings.slack / f64::from(instances.max(1));
+        let instances = instances.filter(|_| now > self.slack_from);
+        let slack_share = instances.map_or(0.0, |n| self.settings.slack / f64::from(n.max(1)));
         let allowed = self.requests.len() as f64 * self.settings.ratio + slack_share;
         let has_one = (self.retries.len() + 1) as f64 <= allowed;
         if has_one {
--- a/crates/vanillakeel/src/mesh/state.rs
+++ b/crates/vanillakeel/src/mesh/state.rs
@@ -54,7 +54,8 @@
     /// Time without an answer after which a hub is skipped for a backoff, and after which its last
     /// answer no longer makes an instance [covered](Mesh::is_covered).
     pub answer_timeout_ms: u64,
-    /// Time for which the largest number of instances is remembered.
+    /// Time for which the largest number of instances is remembered; at least the window of limits that
+    /// the instances share.
     pub peak_ttl_ms: u64,
     /// First backoff of a peer that does not answer; it doubles each time.
     pub first_backoff_ms: u64,
@@ -133,8 +134,15 @@
     /// Sorted by data centre.
     totals: Vec<DataCentreTotal>,
     summary: Option<(Millis, Summary)>,
-    /// Largest number of instances known recently, with the time at which it was seen.
+    /// Whether the list of peers has been read.
+    has_list: bool,
+    /// Whether a peer has answered or reported, and thus knows this instance.
+    is_known: bool,
+    /// Largest number of instances heard of recently, with the time at which it was seen last.
     peak_instances: (Millis, u32),
+    /// Largest number of instances that may have been alive recently, with the time at which it was seen
+    /// last.
+    peak_sharing: (Millis, u32),
 }
 
 impl Mesh {
@@ -147,7 +155,10 @@
             peers: Vec::new(),
             totals: Vec::new(),
             summary: None,
+            has_list: false,
+            is_known: false,
             peak_instances: (Millis::ZERO, 1),
+            peak_sharing: (Millis::ZERO, 1),
         }
     }
 
@@ -173,6 +184,11 @@
         }
     }
 
+    /// Records that the list of peers has been read to its end, and each of them added.
+    pub const fn on_list_read(&mut self) {
+        self.has_list = true;
+    }
+
     /// Removes a peer that has left.
     pub fn on_left(&mut self, name: &str) {
         if let Ok(at) = self.find(name) {
@@ -274,6 +290,7 @@
     }
 
     fn on_answer(&mut self, name: &str) {
+        self.is_known = true;
         if let Ok(at) = self.find(name) {
             let known = &mut self.peers[at];
             known.unanswered_since = None;
@@ -284,6 +301,7 @@
 
     /// Stores the report of a member: its load, and whether its configuration is confirmed.
     pub fn on_report(&mut self, now: Millis, name: &str, loads: Loads, is_confirmed: bool) {
+        self.is_known = true;
         if let Ok(at) = self.find(name) {
             self.peers[at].report = Some(MemberReport {
                 received: now,
@@ -391,13 +409,35 @@
     /// the same upstreams.
     pub fn extrapolation_factor(&mut self, now: Millis) -> f64 {
         let reporting = self.instances(now).unwrap_or(1).max(1);
-        let is_old = now.since(self.peak_instances.0) >= self.settings.peak_ttl_ms;
-        if reporting >= self.peak_instances.1 || is_old {
-            self.peak_instances = (now, reporting);
-        }
+        self.peak_instances = self.peak(now, self.peak_instances, reporting);
         f64::from(self.peak_instances.1) / f64::from(reporting)
     }
 
+    /// Returns the number of instances that share limits with this one, which is included, or `None`
+    /// until the list of peers has been read and one of them knows this instance.
+    ///
+    /// All that may be alive count, whether or not they are heard, since each one that is cut off uses its
+    /// part as well. One that has left or joined counts for as long as a window of the limits may hold what
+    /// it has used.
+    pub fn sharing_instances(&mut self, now: Millis) -> Option<u32> {
+        let known = u32::try_from(self.peers.len()).unwrap_or(u32::MAX);
+        let known = known.saturating_add(1);
+        let heard = self.instances(now).unwrap_or(1);
+        self.peak_sharing = self.peak(now, self.peak_sharing, known.max(heard));
+        let is_counted = self.is_known || self.peers.is_empty();
+        (self.has_list && is_counted).then_some(self.peak_sharing.1)
+    }
+
+    /// Returns the larger one of a count and an earlier peak that is still remembered.
+    fn peak(&self, now: Millis, peak: (Millis, u32), count: u32) -> (Millis, u32) {
+        let is_old = now.since(peak.0) >= self.settings.peak_ttl_ms;
+        if count >= peak.1 || is_old {
+            (now, count)
+        } else {
+            peak
+        }
+    }
+
     /// Returns the known number of live instances, including this one, or `None` without recent
     /// information.
     #[must_use]
--- a/crates/vanillakeel/tests/window_budget.rs
+++ b/crates/vanillakeel/tests/window_budget.rs
@@ -11,33 +11,53 @@
     },
 };
 
+/// Time at which the tests begin, when the process has run for more than a window.
+const START: Millis = Millis::new(20_000);
+
 fn budget() -> WindowBudget {
-    WindowBudget::new(WindowSettings {
+    let settings = WindowSettings {
         ratio: 0.2,
         slack: 8.0,
         window_ms: 10_000,
-    })
+    };
+    WindowBudget::new(settings, Millis::new(settings.window_ms))
 }
 
 fn take_all(budget: &mut WindowBudget, now: Millis, instances: u32) -> usize {
-    (0..100).take_while(|_| budget.take(now, instances)).count()
+    (0..100)
+        .take_while(|_| budget.take(now, Some(instances)))
+        .count()
+}
+
+/// Guards against slack that is handed out again by each process that starts, and against a part of it
+/// that is taken before anybody knows how many instances share it.
+#[test]
+fn slack_not_yet_due() {
+    let mut budget = budget();
+    assert_eq!(take_all(&mut budget, Millis::new(10_000), 1), 0);
+    for _ in 0..10 {
+        budget.on_request(Millis::new(10_000));
+    }
+    assert_eq!(take_all(&mut budget, Millis::new(10_000), 1), 2);
+    assert!(!budget.take(Millis::new(10_001), None));
+    assert!(budget.take(Millis::new(10_001), Some(1)));
 }
 
 #[test]
 fn ratio_plus_slack_share() {
     let mut budget = budget();
     for _ in 0..20 {
-        budget.on_request(Millis::ZERO);
+        budget.on_request(START);
     }
-    assert_eq!(take_all(&mut budget, Millis::ZERO, 4), 4 + 2);
+    assert_eq!(take_all(&mut budget, START, 4), 4 + 2);
 }
 
 #[test]
 fn window_slides() {
     let mut budget = budget();
-    assert_eq!(take_all(&mut budget, Millis::ZERO, 1), 8);
-    assert_eq!(take_all(&mut budget, Millis::new(10_000), 1), 0);
-    assert_eq!(take_all(&mut budget, Millis::new(10_001), 1), 8);
+    assert_eq!(take_all(&mut budget, START, 1), 8);
+    assert_eq!(take_all(&mut budget, START.plus(10_000), 1), 0);
+    assert_eq!(take_all(&mut budget, START.plus(10_001), 1), 8);
 }
 
 /// All instances together stay within the bound, even if the requests are spread unevenly.
@@ -46,10 +66,10 @@
     let mut all: Vec<_> = (0..7).map(|_| budget()).collect();
     for (at, budget) in all.iter_mut().enumerate() {
         for _ in 0..at * 9 {
-            budget.on_request(Millis::ZERO);
+            budget.on_request(START);
         }
     }
     let requests: usize = (0..7).map(|at| at * 9).sum();
-    let taken: usize = all.iter_mut().map(|b| take_all(b, Millis::ZERO, 7)).sum();
+    let taken: usize = all.iter_mut().map(|b| take_all(b, START, 7)).sum();
     assert!(taken as f64 <= requests as f64 * 0.2 + 8.0, "{taken}");
 }
