feat: crashes of upstreams are told apart from broken answers

Cause: a call that broke off left no line that says whether its upstream had crashed, nor what the request held, so the hypotheses on crashing segments could not be told apart.

What: after a call breaks off, a new connection shows whether the process has ended; calls that break off at the same time share the check. A line 'upstream crashed' names the request, the time since its first event and the segments that others may share. The end of a stream that ends with its connection uses the same check, begun after that end. No decision changes.

--- a/crates/vanillakeel-entry/src/gateway.rs
+++ b/crates/vanillakeel-entry/src/gateway.rs
@@ -21,6 +21,7 @@
 mod answer;
 mod call;
 mod client;
+mod crashes;
 mod exchange;
 mod framing;
 mod guard;
--- a/crates/vanillakeel-entry/src/gateway/call.rs
+++ b/crates/vanillakeel-entry/src/gateway/call.rs
@@ -28,6 +28,7 @@
     request_id: Arc<str>,
     pub(super) pick: Pick,
     in_flight: Option<InFlightCall>,
+    first_event: Option<Millis>,
     pub(super) connection: Option<HttpConnection>,
     /// How long the connection may stay idle after the response and still be reused, in ms; `None`
     /// if it can't be reused.
@@ -49,6 +50,7 @@
             request_id: Arc::clone(request_id),
             pick,
             in_flight: Some(in_flight),
+            first_event: None,
             connection: None,
             max_idle_ms: None,
             framing: BodyFraming::default(),
@@ -60,8 +62,15 @@
         &self.pick.name
     }
 
+    /// Returns the time since the first event of the response, in ms.
+    pub(super) fn answered_ms(&self) -> Option<u64> {
+        let now = self.shared.clock.now();
+        self.first_event.map(|first| now.since(first))
+    }
+
     /// Records the first event of the response.
     pub(super) fn on_first_event(&mut self, now: Millis) {
+        self.first_event.get_or_insert(now);
         if let Some(in_flight) = &mut self.in_flight {
             self.shared
                 .fleet
--- a/crates/vanillakeel-entry/src/gateway/exchange.rs
+++ b/crates/vanillakeel-entry/src/gateway/exchange.rs
@@ -16,6 +16,7 @@
         HttpConnection,
         SendError, //
     },
+    crashes,
     framing::BodyFraming,
     headers,
     lines::Kind,
@@ -39,12 +40,14 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use std::{
-    io,
     rc::Rc,
     sync::Arc,
     time::Duration, //
 };
-use tokio::time::timeout;
+use tokio::{
+    task::spawn_local,
+    time::timeout, //
+};
 use vanillakeel::fleet::{
     CallOutcome,
     Overload,
@@ -65,9 +68,6 @@
 /// Longest wait of any request for an available upstream, counted from its arrival, in ms.
 const MAX_UPSTREAM_WAIT_MS: u64 = 250;
 
-/// Time limit for the connection by which a crash of an upstream is ruled out, in ms.
-const CRASH_CHECK_MS: u64 = 200;
-
 /// Time to the deadline below which a request is refused instead of sent, in ms.
 const MIN_REMAINING_MS: u64 = 5;
 
@@ -101,6 +101,8 @@
     pub(super) possible_runs: u32,
     refusals: u32,
     failed_connects: u32,
+    /// Upstream that the request was sent to last.
+    sent_to: Option<Pick>,
     /// Version of the software that began the stream, by which it has to go on.
     pub(super) software: Option<Arc<str>>,
 }
@@ -155,6 +157,10 @@
             Err(failure) => failure,
         };
         log_failure(shared, request, attempts, &failure);
+        if let (SendFailure::Broken(_), Some(pick)) = (&failure, attempts.sent_to.take()) {
+            let (shared, request) = (Rc::clone(shared), Rc::clone(request));
+            spawn_local(crashes::record_broken(shared, request, pick, None));
+        }
         if may_retry(shared, request, attempts, &failure).await {
             continue;
         }
@@ -293,6 +299,7 @@
     );
     attempts.tried.push(Arc::clone(&call.pick.name));
     attempts.possible_runs += 1;
+    attempts.sent_to = Some(call.pick.clone());
     log_sent(shared, request, attempts, &call.pick);
     let sent = match &mut call.connection {
         Some(connection) => connection.send(req).await,
@@ -393,30 +400,6 @@
     }
 }
 
-/// Returns whether the upstream of a call has crashed: it is listed as live, but refuses connections.
-///
-/// The connection that is opened for this replaces the one of the call, which has ended.
-pub(super) async fn has_upstream_crashed(shared: &Shared, call: &mut Call) -> bool {
-    let is_live = |pick: &Pick| {
-        let fleet = shared.fleet.borrow();
-        fleet.is_live(&pick.name, pick.incarnation)
-    };
-    if !is_live(&call.pick) {
-        return false;
-    }
-    let limit = Duration::from_millis(CRASH_CHECK_MS);
-    let opening = HttpConnection::open(call.pick.address, shared.connection_timeouts());
-    match timeout(limit, opening).await {
-        Ok(Ok(connection)) => {
-            shared.metrics.upstream_connections.inc();
-            call.connection = Some(connection);
-            false
-        }
-        Ok(Err(e)) => e.kind() == io::ErrorKind::ConnectionRefused && is_live(&call.pick),
-        Err(_) => false,
-    }
-}
-
 /// A reserved place for a new connection.
 ///
 /// Dropping it releases the place, if the connection fails or the request is cancelled meanwhile.
--- a/crates/vanillakeel-entry/src/gateway/relay.rs
+++ b/crates/vanillakeel-entry/src/gateway/relay.rs
@@ -12,6 +12,7 @@
 use super::{
     answer::BodyError,
     call::Call,
+    crashes,
     exchange::{
         self,
         Attempts,
@@ -56,9 +57,12 @@
     },
     time::Duration,
 };
-use tokio::time::{
-    Sleep,
-    sleep, //
+use tokio::{
+    task::spawn_local,
+    time::{
+        Sleep,
+        sleep, //
+    },
 };
 use vanillakeel::{
     fleet::CallOutcome,
@@ -271,7 +275,7 @@
     /// Handles the end of the upstream's body, as its framing marks it.
     fn on_end(&mut self) {
         let is_complete = self.is_complete();
-        let Some(mut call) = self.take_call() else {
+        let Some(call) = self.take_call() else {
             return;
         };
         if !is_complete {
@@ -285,7 +289,7 @@
         // The connection ends in the same way if the process ends between two events.
         let shared = Rc::clone(&self.shared);
         self.state = RelayState::Confirming(Box::pin(async move {
-            let has_crashed = exchange::has_upstream_crashed(&shared, &mut call).await;
+            let has_crashed = crashes::has_crashed(&shared, &call.pick, 0).await;
             (call, has_crashed)
         }));
     }
@@ -353,6 +357,13 @@
     fn on_upstream_failure(&mut self, call: Call, reason: &str, error: Option<&hyper::Error>) {
         self.log_cut(Some(&call), reason, error);
         let software = call.pick.software.clone();
+        let broken = crashes::record_broken(
+            Rc::clone(&self.shared),
+            Rc::clone(&self.request),
+            call.pick.clone(),
+            call.answered_ms(),
+        );
+        spawn_local(broken);
         call.finish(CallOutcome::Failed);
         self.state = RelayState::Broken;
         let Some(events) = &mut self.events else {
--- a/crates/vanillakeel-entry/src/gateway/request.rs
+++ b/crates/vanillakeel-entry/src/gateway/request.rs
@@ -74,6 +74,8 @@
     /// Time by which the response has to end.
     pub(super) deadline: Millis,
     pub(super) prompt_segments: Vec<PromptSegment>,
+    /// Ids of the segments that other requests may share.
+    pub(super) shared_segments: Vec<u64>,
     pub(super) prompt_tokens: u32,
     /// Rank at the upstream; 0 is the most urgent.
     pub(super) rank: u8,
@@ -363,11 +365,14 @@
         .unwrap_or_else(|| shared.settings.borrow().retries.instances)
         .max(1);
     let path = head.uri.path_and_query().map_or("/", |p| p.as_str());
+    let prompt_segments =
+        parse_prompt_segments(headers::str_value(&head.headers, &names.prompt_segments));
+    let shared_segments = prompt_segments
+        .split_last()
+        .map_or(&[][..], |(_, shared)| shared);
     Ok(RoutedRequest {
-        prompt_segments: parse_prompt_segments(headers::str_value(
-            &head.headers,
-            &names.prompt_segments,
-        )),
+        shared_segments: shared_segments.iter().map(|s| s.id).collect(),
+        prompt_segments,
         prompt_tokens: parse_prompt_tokens(headers::str_value(&head.headers, &names.token_counts)),
         resumes: resumes.map(Arc::from),
         continues,
--- a/crates/vanillakeel-entry/src/gateway/shared.rs
+++ b/crates/vanillakeel-entry/src/gateway/shared.rs
@@ -6,6 +6,7 @@
 use super::{
     answer::Refusal,
     client::ConnectionTimeouts,
+    crashes::CrashCheck,
     header_names::HeaderNames,
     lines::{
         Kind,
@@ -150,6 +151,8 @@
     log_era: Cell<Option<u64>>,
     /// Wakes the tasks that read or write the log when its era has risen.
     pub(super) era_risen: Notify,
+    /// Recent checks whether upstreams have crashed.
+    pub(super) crash_checks: RefCell<Vec<Rc<CrashCheck>>>,
     /// Upstreams that were removed recently.
     removed_upstreams: RefCell<RemovedUpstreams>,
     /// Wakes the task that reads the configuration when another instance has announced a newer version.
@@ -205,6 +208,7 @@
             standing_changed: Notify::new(),
             log_era: Cell::new(None),
             era_risen: Notify::new(),
+            crash_checks: RefCell::default(),
             removed_upstreams: RefCell::default(),
             newer_version: Notify::new(),
             stopping_since: Cell::new(None),
