fix: a prompt segment that crashes upstreams is refused at all instances

Cause: a failure was always laid on the upstream. Nothing remembered what had run where an upstream crashed; its successor started with a clean record, retries and resumptions took the same request to the next one, and each instance learnt alone. The class: evidence about a request is booked on whoever served it.

Fix: the library's Quarantine finds the segment from crashes and successes, of all instances: suspects are the shared segments of requests that had not been answered for 300 ms when their upstream crashed; a success ends a series; three separate crashes without one suffice, five for a segment that was answered before. Evidence and verdicts go with the messages of the mesh. Its requests are refused as not run, with a reason of their own and a Retry-After beyond any deadline; 503, as a status of the 4xx group says that the request is wrong, which the caller can't know. A request under which an upstream has crashed is repeated only if each of its segments has been answered before.

--- a/crates/vanillakeel-entry/src/gateway/answer.rs
+++ b/crates/vanillakeel-entry/src/gateway/answer.rs
@@ -95,6 +95,8 @@
     Stopping,
     /// the version that began the stream is not known
     UnknownStream(Option<u64>),
+    /// a segment of the prompt crashes upstreams
+    Quarantined(u64),
     /// no upstream of the version that began the stream is left
     VersionGone,
     /// an upstream failed after the request was sent
@@ -121,6 +123,7 @@
             Self::TooLate => "too_late",
             Self::Stopping => "stopping",
             Self::UnknownStream(_) => "unknown_stream",
+            Self::Quarantined(_) => "quarantined",
             Self::VersionGone => "version_gone",
             Self::Broken => "broken",
             Self::TimedOut => "timed_out",
@@ -143,6 +146,7 @@
             | Self::TooLate
             | Self::Stopping
             | Self::UnknownStream(_)
+            | Self::Quarantined(_)
             | Self::VersionGone => StatusCode::SERVICE_UNAVAILABLE,
             Self::Broken => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -162,7 +166,7 @@
         match self {
             Self::NoConfiguration | Self::NoUpstream => Some(300),
             Self::Full => Some(100),
-            Self::Overload(ms) | Self::Stale(ms) => Some(ms),
+            Self::Overload(ms) | Self::Stale(ms) | Self::Quarantined(ms) => Some(ms),
             Self::Stopping => Some(0),
             Self::UnknownStream(ms) => ms,
             _ => None,
--- a/crates/vanillakeel-entry/src/gateway/crashes.rs
+++ b/crates/vanillakeel-entry/src/gateway/crashes.rs
@@ -1,16 +1,15 @@
-//! Detection of crashed upstreams.
+//! Detection of crashed upstreams, and of the prompt segments that crash them.
 //!
 //! A call that breaks off does not show whether its upstream has crashed, spoiled one answer or lost one
-//! connection. [`has_crashed`] finds out by a new connection: the process has crashed if it is listed as
+//! connection. [`record_broken`] finds out by a new connection: the process has crashed if it is listed as
 //! live and nothing listens at its address. Calls that break off at the same time share one check.
 //!
 //! ```ignore
-//! if crashes::has_crashed(&shared, &call.pick, 0).await {
-//!     // What has arrived of the answer is not complete.
-//! }
+//! let has_crashed = crashes::record_broken(shared, request, call.pick, call.answered_ms()).await;
 //! ```
 
 use super::{
+    answer::Refusal,
     client::HttpConnection,
     lines::Kind,
     request::RoutedRequest,
@@ -26,16 +25,28 @@
 use tokio::{
     sync::Notify,
     task::spawn_local,
-    time::timeout, //
+    time::{
+        sleep,
+        timeout, //
+    },
 };
 use vanillakeel::{
     Millis,
-    fleet::Pick, //
+    fleet::Pick,
+    order,
+    quarantine::Change, //
 };
 
+/// Time after the first event of an answer from which the request is not taken for the cause of a crash, in
+/// ms: an upstream crashes when it begins to answer.
+pub(super) const SETTLED_MS: u64 = 300;
+
 /// Time limit for the connection by which a crash of an upstream is ruled out, in ms.
 const CRASH_CHECK_MS: u64 = 200;
 
+/// Time within which a process that is ending closes a new connection, in ms.
+const ENDING_MS: u64 = 20;
+
 /// Time for which a crash that was found holds for further calls of the same process, in ms.
 const RESULT_TTL_MS: u64 = 1_000;
 
@@ -52,12 +63,9 @@
     done: Notify,
 }
 
-/// Returns whether the upstream of a call that has ended has crashed.
-///
-/// A check that began up to `max_age_ms` before may answer this, too; an older one says nothing of the
-/// present unless it has found a crash.
-pub(super) async fn has_crashed(shared: &Rc<Shared>, pick: &Pick, max_age_ms: u64) -> bool {
-    let check = find_check(shared, pick, max_age_ms).unwrap_or_else(|| begin_check(shared, pick));
+/// Returns whether the upstream of a call that has broken off has crashed.
+async fn has_crashed(shared: &Rc<Shared>, pick: &Pick) -> bool {
+    let check = find_check(shared, pick).unwrap_or_else(|| begin_check(shared, pick));
     loop {
         let done = check.done.notified();
         if let Some(has_crashed) = check.has_crashed.get() {
@@ -67,12 +75,14 @@
     }
 }
 
-fn find_check(shared: &Shared, pick: &Pick, max_age_ms: u64) -> Option<Rc<CrashCheck>> {
+/// Returns a check that says something of the present: one that has found a crash, or has just begun.
+fn find_check(shared: &Shared, pick: &Pick) -> Option<Rc<CrashCheck>> {
     let now = shared.clock.now();
     let mut checks = shared.crash_checks.borrow_mut();
     checks.retain(|c| now.since(c.begun) < RESULT_TTL_MS);
-    let is_valid =
-        |c: &Rc<CrashCheck>| c.has_crashed.get() == Some(true) || now.since(c.begun) < max_age_ms;
+    let is_valid = |c: &Rc<CrashCheck>| {
+        c.has_crashed.get() == Some(true) || now.since(c.begun) < SHARED_CHECK_MS
+    };
     let check = checks
         .iter()
         .find(|c| c.upstream == pick.name && c.incarnation == pick.incarnation && is_valid(c));
@@ -98,20 +108,39 @@
     check
 }
 
+/// Returns whether an upstream refuses connections, or ends while one is being opened.
 async fn refuses_connections(shared: &Shared, pick: &Pick) -> bool {
-    let is_live = || {
-        let fleet = shared.fleet.borrow();
-        fleet.is_live(&pick.name, pick.incarnation)
-    };
-    if !is_live() {
-        return false;
+    match open(shared, pick).await {
+        Some(Ok(connection)) => {
+            // A process that is ending may still have had a queue for new connections.
+            sleep(Duration::from_millis(ENDING_MS)).await;
+            connection.is_closed() && refuses_connection(shared, pick).await
+        }
+        Some(Err(e)) => e.kind() == io::ErrorKind::ConnectionRefused && is_live(shared, pick),
+        None => false,
+    }
+}
+
+/// Returns whether an upstream is listed as live but refuses a new connection.
+pub(super) async fn refuses_connection(shared: &Shared, pick: &Pick) -> bool {
+    let opened = open(shared, pick).await;
+    let is_refused = |e: io::Error| e.kind() == io::ErrorKind::ConnectionRefused;
+    opened.is_some_and(|opened| opened.is_err_and(is_refused)) && is_live(shared, pick)
+}
+
+/// Opens a connection to an upstream that is listed as live; `None` if it is not, or not in time.
+async fn open(shared: &Shared, pick: &Pick) -> Option<io::Result<HttpConnection>> {
+    if !is_live(shared, pick) {
+        return None;
     }
     let limit = Duration::from_millis(CRASH_CHECK_MS);
     let opening = HttpConnection::open(pick.address, shared.connection_timeouts());
-    match timeout(limit, opening).await {
-        Ok(Err(e)) => e.kind() == io::ErrorKind::ConnectionRefused && is_live(),
-        Ok(Ok(_)) | Err(_) => false,
-    }
+    timeout(limit, opening).await.ok()
+}
+
+fn is_live(shared: &Shared, pick: &Pick) -> bool {
+    let fleet = shared.fleet.borrow();
+    fleet.is_live(&pick.name, pick.incarnation)
 }
 
 /// Finds out whether an upstream has crashed under a request that broke off, and records it; returns
@@ -124,22 +153,116 @@
     pick: Pick,
     answered_ms: Option<u64>,
 ) -> bool {
-    if request.shared_segments.is_empty() || !has_crashed(&shared, &pick, SHARED_CHECK_MS).await {
+    if request.shared_segments.is_empty() || !has_crashed(&shared, &pick).await {
         return false;
     }
+    let is_suspect = answered_ms.is_none_or(|ms| ms < SETTLED_MS);
     if shared.may_log(Kind::Failure) {
         tracing::info!(
             request = %request.id,
             upstream = %pick.name,
             incarnation = pick.incarnation,
             answered_ms,
+            is_suspect,
             segments = %format_segments(&request.shared_segments),
             "upstream crashed"
         );
     }
+    if is_suspect {
+        let now = shared.clock.now();
+        let process = format!("{} {}", pick.name, pick.incarnation);
+        let changes = shared.quarantine.borrow_mut().on_crash(
+            now,
+            order::hash(&process),
+            &request.shared_segments,
+        );
+        log_changes(&shared, &changes);
+    }
     true
 }
 
+/// Records that an upstream has answered a request for so long that the request did not crash it.
+pub(super) fn record_answered(shared: &Shared, request: &RoutedRequest) {
+    if request.shared_segments.is_empty() {
+        return;
+    }
+    let now = shared.clock.now();
+    let mut quarantine = shared.quarantine.borrow_mut();
+    let changes = quarantine.on_answered(now, &request.shared_segments);
+    drop(quarantine);
+    log_changes(shared, &changes);
+}
+
+/// Returns whether a request may be sent to a further upstream after one has crashed under it: only if each
+/// of its shared segments has been answered before, and none is refused by now.
+pub(super) fn may_repeat(shared: &Shared, request: &RoutedRequest) -> bool {
+    let now = shared.clock.now();
+    let mut quarantine = shared.quarantine.borrow_mut();
+    quarantine.are_answered(&request.shared_segments)
+        && quarantine.refuse(now, &request.shared_segments).is_none()
+}
+
+/// Refuses a request that holds a segment in quarantine.
+///
+/// # Errors
+///
+/// Returns the refusal.
+pub(super) fn check_quarantine(shared: &Shared, request: &RoutedRequest) -> Result<(), Refusal> {
+    let now = shared.clock.now();
+    let refused = shared
+        .quarantine
+        .borrow_mut()
+        .refuse(now, &request.shared_segments);
+    let Some(refused) = refused else {
+        return Ok(());
+    };
+    if shared.may_log(Kind::Failure) {
+        tracing::info!(
+            request = %request.id,
+            segment = %format_segments(&[refused.segment]),
+            "segment in quarantine"
+        );
+    }
+    Err(Refusal::Quarantined(refused.retry_after_ms))
+}
+
+/// Logs what has changed in the quarantine.
+pub(super) fn log_changes(shared: &Shared, changes: &[Change]) {
+    for change in changes {
+        match *change {
+            Change::Blamed {
+                segment,
+                crashes,
+                first_ms,
+                answered_ms,
+            } => tracing::warn!(
+                segment = %format_segments(&[segment]),
+                crashes,
+                first_ms,
+                answered_ms,
+                "segment crashes upstreams; its requests are refused"
+            ),
+            Change::Adopted { segment } => tracing::warn!(
+                segment = %format_segments(&[segment]),
+                "another instance has found that a segment crashes upstreams; its requests are refused"
+            ),
+            Change::Lifted {
+                segment,
+                is_answered,
+            } => tracing::info!(
+                segment = %format_segments(&[segment]),
+                is_answered,
+                "requests with a segment are no longer refused"
+            ),
+        }
+    }
+    if !changes.is_empty() {
+        let count = shared.quarantine.borrow().len();
+        let count = i64::try_from(count).unwrap_or(i64::MAX);
+        shared.metrics.quarantined_segments.set(count);
+    }
+}
+
 /// Returns the ids of segments in hexadecimal, as requests name them.
 fn format_segments(segments: &[u64]) -> String {
     let ids: Vec<String> = segments.iter().map(|s| format!("{s:x}")).collect();
--- a/crates/vanillakeel-entry/src/gateway/exchange.rs
+++ b/crates/vanillakeel-entry/src/gateway/exchange.rs
@@ -143,6 +143,9 @@
 ) -> Result<Response<ResponseBody>, Refusal> {
     let mut server_error: Option<Response<ResponseBody>> = None;
     loop {
+        if attempts.possible_runs == 0 {
+            crashes::check_quarantine(shared, request)?;
+        }
         let failure = match send(shared, request, attempts, &ResumePoint::Start).await {
             Ok((call, response)) => {
                 match response::prepare(shared, request, attempts, call, response).await {
@@ -157,11 +160,12 @@
             Err(failure) => failure,
         };
         log_failure(shared, request, attempts, &failure);
-        if let (SendFailure::Broken(_), Some(pick)) = (&failure, attempts.sent_to.take()) {
-            let (shared, request) = (Rc::clone(shared), Rc::clone(request));
-            spawn_local(crashes::record_broken(shared, request, pick, None));
-        }
-        if may_retry(shared, request, attempts, &failure).await {
+        let is_broken = matches!(failure, SendFailure::Broken(_)) && server_error.is_none();
+        let may_repeat = match attempts.sent_to.take().filter(|_| is_broken) {
+            Some(pick) => may_repeat_broken(shared, request, pick).await,
+            None => true,
+        };
+        if may_repeat && may_retry(shared, request, attempts, &failure).await {
             continue;
         }
         if let Some(response) = server_error {
@@ -176,6 +180,16 @@
     }
 }
 
+/// Returns whether a request whose call has broken off may be sent again, as far as that depends on whether
+/// it may have crashed the upstream.
+async fn may_repeat_broken(shared: &Rc<Shared>, request: &Rc<RoutedRequest>, pick: Pick) -> bool {
+    let recorded = crashes::record_broken(Rc::clone(shared), Rc::clone(request), pick, None);
+    // What was found is also recorded if the caller leaves meanwhile.
+    let recorded = spawn_local(recorded).await;
+    let has_crashed = recorded.unwrap_or(false);
+    !has_crashed || crashes::may_repeat(shared, request)
+}
+
 fn log_failure(
     shared: &Shared,
     request: &RoutedRequest,
--- a/crates/vanillakeel-entry/src/gateway/mesh_wire.rs
+++ b/crates/vanillakeel-entry/src/gateway/mesh_wire.rs
@@ -12,8 +12,16 @@
         Load,
         Loads, //
     },
+    quarantine::{
+        BlamedSegment,
+        CrashReport,
+        Evidence,
+        SoundSegment, //
+    },
 };
 use vanillakeel_wire::generated::{
+    MeshCrash,
+    MeshCrashes,
     MeshLoads,
     MeshUpstream, //
 };
@@ -101,6 +109,60 @@
     })
 }
 
+/// Encodes evidence on crashes; `None` if there is none.
+pub(super) fn crashes_to_wire(evidence: &Evidence) -> Option<MeshCrashes> {
+    if *evidence == Evidence::default() {
+        return None;
+    }
+    let age = |ms: u64| u32::try_from(ms).unwrap_or(u32::MAX);
+    let crash = |c: &CrashReport| MeshCrash {
+        id: c.id,
+        age: age(c.age_ms),
+        segments: c.segments.clone(),
+    };
+    let Evidence {
+        crashes,
+        sound,
+        blamed,
+    } = evidence;
+    Some(MeshCrashes {
+        crashes: crashes.iter().map(crash).collect(),
+        answered: sound.iter().map(|s| s.segment).collect(),
+        answered_ages: sound.iter().map(|s| age(s.age_ms)).collect(),
+        blamed: blamed.iter().map(|b| b.segment).collect(),
+        blamed_ages: blamed.iter().map(|b| age(b.age_ms)).collect(),
+        asked_ages: blamed.iter().map(|b| age(b.asked_ms)).collect(),
+    })
+}
+
+/// Decodes evidence on crashes; lists of unequal length are cut to the shortest one.
+pub(super) fn crashes_from_wire(wire: &MeshCrashes) -> Evidence {
+    let crash = |c: &MeshCrash| CrashReport {
+        id: c.id,
+        age_ms: u64::from(c.age),
+        segments: c.segments.clone(),
+    };
+    let sound = wire.answered.iter().zip(&wire.answered_ages);
+    let blamed_ages = wire.blamed_ages.iter().zip(&wire.asked_ages);
+    let blamed = wire.blamed.iter().zip(blamed_ages);
+    Evidence {
+        crashes: wire.crashes.iter().map(crash).collect(),
+        sound: sound
+            .map(|(segment, age)| SoundSegment {
+                segment: *segment,
+                age_ms: u64::from(*age),
+            })
+            .collect(),
+        blamed: blamed
+            .map(|(segment, (age, asked))| BlamedSegment {
+                segment: *segment,
+                age_ms: u64::from(*age),
+                asked_ms: u64::from(*asked),
+            })
+            .collect(),
+    }
+}
+
 #[cfg(test)]
 #[path = "../../tests/unit/mesh_wire_loads.rs"]
 mod mesh_wire_loads;
--- a/crates/vanillakeel-entry/src/gateway/metrics.rs
+++ b/crates/vanillakeel-entry/src/gateway/metrics.rs
@@ -78,6 +78,7 @@
     pub(super) confirmation_age_ms: Gauge,
     pub(super) upstreams: Gauge,
     pub(super) peers: Gauge,
+    pub(super) quarantined_segments: Gauge,
     pub(super) sharing_instances: Gauge,
     pub(super) covered: Gauge,
     pub(super) known_streams: Gauge,
@@ -105,6 +106,7 @@
             confirmation_age_ms: Gauge::default(),
             upstreams: Gauge::default(),
             peers: Gauge::default(),
+            quarantined_segments: Gauge::default(),
             sharing_instances: Gauge::default(),
             covered: Gauge::default(),
             known_streams: Gauge::default(),
@@ -196,6 +198,11 @@
         );
         registry.register("upstreams", "Upstreams known", self.upstreams.clone());
         registry.register("peers", "Other instances known", self.peers.clone());
+        registry.register(
+            "quarantined_segments",
+            "Prompt segments whose requests are refused since they crash upstreams",
+            self.quarantined_segments.clone(),
+        );
         registry.register(
             "sharing_instances",
             "Instances that share limits, including this one; 0 while their number is unknown",
--- a/crates/vanillakeel-entry/src/gateway/peers.rs
+++ b/crates/vanillakeel-entry/src/gateway/peers.rs
@@ -6,6 +6,7 @@
 //! effect.
 
 use super::{
+    crashes,
     log_adapter::{
         Entry,
         LogAdapter,
@@ -15,6 +16,8 @@
     mesh_wire::{
         change_from_wire,
         change_to_wire,
+        crashes_from_wire,
+        crashes_to_wire,
         loads_from_wire,
         loads_to_wire, //
     },
@@ -45,6 +48,7 @@
 use vanillakeel_wire::{
     Message as _,
     generated::{
+        MeshCrashes,
         MeshExchange,
         MeshMessage,
         MeshReads,
@@ -224,6 +228,7 @@
             instances,
             reads: Some(cache_notices_to_wire(shared, now)),
             version: shared.in_force.borrow().version(),
+            crashes: crashes_to_wire(&shared.quarantine.borrow().evidence(now)),
         };
         send_message(shared, socket, &peer, Kind::Exchange(message)).await;
     }
@@ -241,6 +246,7 @@
         reads: Some(cache_notices_to_wire(shared, now)),
         confirmed: shared.in_force.borrow().standing(now) == Standing::Confirmed,
         version: shared.in_force.borrow().version(),
+        crashes: crashes_to_wire(&shared.quarantine.borrow().evidence(now)),
     })
 }
 
@@ -320,6 +326,7 @@
     match message.kind {
         Some(Kind::Report(report)) => {
             shared.on_announced(report.version, name);
+            record_evidence(shared, now, report.crashes.as_ref());
             record_cache_notices(shared, now, report.reads.as_ref());
             let loads = loads_from_wire(report.loads.as_ref());
             let is_same_data_centre = {
@@ -337,6 +344,7 @@
         }
         Some(Kind::Exchange(exchange)) => {
             shared.on_announced(exchange.version, name);
+            record_evidence(shared, now, exchange.crashes.as_ref());
             record_cache_notices(shared, now, exchange.reads.as_ref());
             let loads = loads_from_wire(exchange.loads.as_ref());
             let mut mesh = shared.mesh.borrow_mut();
@@ -384,6 +392,7 @@
         instances,
         reads: Some(cache_notices_to_wire(shared, now)),
         log_era: shared.log_era(),
+        crashes: crashes_to_wire(&shared.quarantine.borrow().evidence(now)),
     }
 }
 
@@ -401,6 +410,7 @@
     };
     shared.mesh.borrow_mut().on_summary(now, hub, received);
     record_cache_notices(shared, now, summary.reads.as_ref());
+    record_evidence(shared, now, summary.crashes.as_ref());
     let loads = loads_from_wire(summary.loads.as_ref());
     shared.fleet.borrow_mut().set_remote(&loads);
     shared.on_announced(summary.version, hub);
@@ -454,6 +464,15 @@
     wire
 }
 
+/// Adds what a peer knows of crashes.
+fn record_evidence(shared: &Shared, now: Millis, wire: Option<&MeshCrashes>) {
+    if let Some(wire) = wire {
+        let evidence = crashes_from_wire(wire);
+        let changes = shared.quarantine.borrow_mut().on_evidence(now, &evidence);
+        crashes::log_changes(shared, &changes);
+    }
+}
+
 /// Records the prompt segments that upstreams have recently computed for a peer.
 fn record_cache_notices(shared: &Shared, now: Millis, wire: Option<&MeshReads>) {
     let Some(wire) = wire else {
--- a/crates/vanillakeel-entry/src/gateway/relay.rs
+++ b/crates/vanillakeel-entry/src/gateway/relay.rs
@@ -103,6 +103,8 @@
     events: Option<RelayedEvents>,
     /// Whether the keepers of a resumable stream have been told that it has begun.
     is_told: bool,
+    /// Whether an upstream has answered for some time.
+    is_settled: bool,
     /// Bytes that were read earlier and come first.
     buffered: Option<Bytes>,
     progress: Progress,
@@ -130,6 +132,7 @@
             deadline: Box::pin(sleep(remaining)),
             events: None,
             is_told: false,
+            is_settled: false,
             buffered: None,
             progress: Progress::default(),
             held_until_end: None,
@@ -229,9 +232,24 @@
         };
         self.progress.bytes += relayed.as_ref().map_or(0, |b| b.len() as u64);
         self.tell_of_first_event();
+        self.record_settled();
         relayed
     }
 
+    /// Records once that the upstream has answered for so long that the request has not crashed it.
+    fn record_settled(&mut self) {
+        if let RelayState::Receiving(receiving) = &self.state
+            && !self.is_settled
+            && receiving
+                .0
+                .answered_ms()
+                .is_some_and(|ms| ms >= crashes::SETTLED_MS)
+        {
+            self.is_settled = true;
+            crashes::record_answered(&self.shared, &self.request);
+        }
+    }
+
     /// Tells other instances by which version a resumable stream began, once its first event is complete.
     fn tell_of_first_event(&mut self) {
         let has_begun = self
@@ -289,7 +307,7 @@
         // The connection ends in the same way if the process ends between two events.
         let shared = Rc::clone(&self.shared);
         self.state = RelayState::Confirming(Box::pin(async move {
-            let has_crashed = crashes::has_crashed(&shared, &call.pick, 0).await;
+            let has_crashed = crashes::refuses_connection(&shared, &call.pick).await;
             (call, has_crashed)
         }));
     }
@@ -306,6 +324,7 @@
         let ending = self.ending(&call);
         let upstream = Arc::clone(call.upstream());
         call.finish(CallOutcome::Success);
+        crashes::record_answered(&self.shared, &self.request);
         response::log_complete(
             &self.shared,
             &self.request,
@@ -357,13 +376,16 @@
     fn on_upstream_failure(&mut self, call: Call, reason: &str, error: Option<&hyper::Error>) {
         self.log_cut(Some(&call), reason, error);
         let software = call.pick.software.clone();
-        let broken = crashes::record_broken(
+        // What was found is also recorded if the caller leaves meanwhile.
+        let recorded = spawn_local(crashes::record_broken(
             Rc::clone(&self.shared),
             Rc::clone(&self.request),
             call.pick.clone(),
             call.answered_ms(),
-        );
-        spawn_local(broken);
+        ));
+        let is_settled = call
+            .answered_ms()
+            .is_some_and(|ms| ms >= crashes::SETTLED_MS);
         call.finish(CallOutcome::Failed);
         self.state = RelayState::Broken;
         let Some(events) = &mut self.events else {
@@ -382,11 +404,13 @@
             }
             attempts.software = software;
         }
-        if !exchange::may_resume(&self.shared, &self.request, &attempts) {
-            return;
-        }
         let (shared, request) = (Rc::clone(&self.shared), Rc::clone(&self.request));
         self.state = RelayState::Resuming(Box::pin(async move {
+            let has_crashed = recorded.await.unwrap_or(false);
+            let may_repeat = !has_crashed || is_settled || crashes::may_repeat(&shared, &request);
+            if !may_repeat || !exchange::may_resume(&shared, &request, &attempts) {
+                return (attempts, Err(SendFailure::NoUpstream));
+            }
             let result = exchange::send(&shared, &request, &mut attempts, &resume_point).await;
             (attempts, result)
         }));
--- a/crates/vanillakeel-entry/src/gateway/response.rs
+++ b/crates/vanillakeel-entry/src/gateway/response.rs
@@ -6,6 +6,7 @@
 use super::{
     answer::ResponseBody,
     call::Call,
+    crashes,
     exchange::{
         Attempts,
         SendFailure, //
@@ -119,6 +120,9 @@
         framing: call.framing,
         partial_event_bytes: None,
     };
+    if head.status.is_success() {
+        crashes::record_answered(shared, request);
+    }
     call.finish(if is_failure {
         CallOutcome::Failed
     } else {
--- a/crates/vanillakeel-entry/src/gateway/settings.rs
+++ b/crates/vanillakeel-entry/src/gateway/settings.rs
@@ -35,6 +35,7 @@
     net::SocketAddr,
     path::Path, //
 };
+use vanillakeel::quarantine;
 
 /// Settings of a pass-through instance.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
@@ -58,6 +59,9 @@
     /// Idle connections to upstreams.
     #[serde(default)]
     pub connections: Connections,
+    /// Quarantine of prompt segments that crash upstreams.
+    #[serde(default)]
+    pub quarantine: Quarantine,
     /// Output of log lines.
     #[serde(default)]
     pub log: Log,
@@ -204,6 +208,53 @@
     }
 }
 
+/// Quarantine of prompt segments that crash upstreams.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Quarantine {
+    /// Crashes without a success in between for which a segment is refused that no upstream is known to
+    /// have answered.
+    pub crashes: u32,
+    /// The same number for a segment that was answered before.
+    pub crashes_of_answered: u32,
+    /// Time after the last request for it for which a segment is refused, in ms.
+    pub hold_ms: u64,
+    /// Segments that are never refused, as hexadecimal ids.
+    pub exempt: Vec<String>,
+}
+
+impl Quarantine {
+    /// Returns the settings of the library; ids that can't be read were refused by the check.
+    pub(super) fn to_library(&self) -> quarantine::Settings {
+        let ids = self.exempt.iter().filter_map(|id| parse_segment(id));
+        let mut exempt: Vec<u64> = ids.collect();
+        exempt.sort_unstable();
+        quarantine::Settings {
+            crashes: self.crashes,
+            crashes_of_answered: self.crashes_of_answered,
+            hold_ms: self.hold_ms,
+            exempt,
+            ..quarantine::Settings::default()
+        }
+    }
+}
+
+fn parse_segment(id: &str) -> Option<u64> {
+    u64::from_str_radix(id, 16).ok()
+}
+
+impl Default for Quarantine {
+    fn default() -> Self {
+        let defaults = quarantine::Settings::default();
+        Self {
+            crashes: defaults.crashes,
+            crashes_of_answered: defaults.crashes_of_answered,
+            hold_ms: defaults.hold_ms,
+            exempt: Vec::new(),
+        }
+    }
+}
+
 /// Idle connections to upstreams.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -280,6 +331,22 @@
         if !self.retries.slack.is_finite() || self.retries.slack < 0.0 {
             return fail("retries.slack", "has to be 0 or more");
         }
+        let quarantine = &self.quarantine;
+        if quarantine.crashes == 0 || quarantine.crashes_of_answered < quarantine.crashes {
+            let reason =
+                "has to be 1 or more, and quarantine.crashes_of_answered as large or larger";
+            return fail("quarantine.crashes", reason);
+        }
+        if quarantine
+            .exempt
+            .iter()
+            .any(|id| parse_segment(id).is_none())
+        {
+            return fail(
+                "quarantine.exempt",
+                "has to hold hexadecimal ids of segments",
+            );
+        }
         if self.retries.window_ms == 0 || self.retries.instances == 0 {
             return fail("retries.window_ms", "has to be 1 or more");
         }
--- a/crates/vanillakeel-entry/src/gateway/shared.rs
+++ b/crates/vanillakeel-entry/src/gateway/shared.rs
@@ -6,7 +6,10 @@
 use super::{
     answer::Refusal,
     client::ConnectionTimeouts,
-    crashes::CrashCheck,
+    crashes::{
+        self,
+        CrashCheck, //
+    },
     header_names::HeaderNames,
     lines::{
         Kind,
@@ -55,6 +58,7 @@
         ReportIds, //
     },
     order,
+    quarantine::Quarantine,
     routes::{
         Freshness,
         InForce,
@@ -153,6 +157,8 @@
     pub(super) era_risen: Notify,
     /// Recent checks whether upstreams have crashed.
     pub(super) crash_checks: RefCell<Vec<Rc<CrashCheck>>>,
+    /// Prompt segments that crash upstreams.
+    pub(super) quarantine: RefCell<Quarantine>,
     /// Upstreams that were removed recently.
     removed_upstreams: RefCell<RemovedUpstreams>,
     /// Wakes the task that reads the configuration when another instance has announced a newer version.
@@ -183,6 +189,7 @@
             ..Peer::default()
         };
         let seed = order::hash(&settings.instance.name);
+        let quarantine = settings.quarantine.to_library();
         Rc::new(Self {
             clock: Clock::start(),
             header_names,
@@ -209,6 +216,7 @@
             log_era: Cell::new(None),
             era_risen: Notify::new(),
             crash_checks: RefCell::default(),
+            quarantine: RefCell::new(Quarantine::new(quarantine)),
             removed_upstreams: RefCell::default(),
             newer_version: Notify::new(),
             stopping_since: Cell::new(None),
@@ -223,6 +231,9 @@
     pub(super) fn set_settings(&self, settings: Settings) {
         let freshness = freshness_of(&settings);
         self.in_force.borrow_mut().set_freshness(freshness);
+        let quarantine = settings.quarantine.to_library();
+        let lifted = self.quarantine.borrow_mut().set_settings(quarantine);
+        crashes::log_changes(self, &lifted);
         *self.settings.borrow_mut() = settings;
     }
 
--- a/crates/vanillakeel-wire/src/generated.rs
+++ b/crates/vanillakeel-wire/src/generated.rs
@@ -253,7 +253,7 @@
     pub light_calls: u32,
 }
 /// A load report that a member sends to its hub.
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct MeshReport {
     /// Id that the answer repeats; its low 40 bits are the member's clock, in ms.
     #[prost(uint64, tag = "1")]
@@ -268,6 +268,39 @@
     /// Version of the configuration in force at the member.
     #[prost(uint64, tag = "5")]
     pub version: u64,
+    /// Missing if there is nothing to tell.
+    #[prost(message, optional, tag = "6")]
+    pub crashes: ::core::option::Option<MeshCrashes>,
+}
+/// Crashes of upstreams, and the prompt segments that may have caused them. Times are ages, in ms.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct MeshCrashes {
+    #[prost(message, repeated, tag = "1")]
+    pub crashes: ::prost::alloc::vec::Vec<MeshCrash>,
+    /// Segments under suspicion that an upstream has answered, and when; lists of equal length.
+    #[prost(fixed64, repeated, tag = "2")]
+    pub answered: ::prost::alloc::vec::Vec<u64>,
+    #[prost(uint32, repeated, tag = "3")]
+    pub answered_ages: ::prost::alloc::vec::Vec<u32>,
+    /// Segments that are refused, when they were blamed and asked for last; lists of equal length.
+    #[prost(fixed64, repeated, tag = "4")]
+    pub blamed: ::prost::alloc::vec::Vec<u64>,
+    #[prost(uint32, repeated, tag = "5")]
+    pub blamed_ages: ::prost::alloc::vec::Vec<u32>,
+    #[prost(uint32, repeated, tag = "6")]
+    pub asked_ages: ::prost::alloc::vec::Vec<u32>,
+}
+/// A crash of an upstream.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct MeshCrash {
+    /// Identifies the process that crashed.
+    #[prost(fixed64, tag = "1")]
+    pub id: u64,
+    #[prost(uint32, tag = "2")]
+    pub age: u32,
+    /// Shared segments of the requests that ran there and had not been answered for a while.
+    #[prost(fixed64, repeated, tag = "3")]
+    pub segments: ::prost::alloc::vec::Vec<u64>,
 }
 /// Prompt segments that upstreams have recently computed; lists of equal length.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -312,9 +345,11 @@
     /// Era of the log that the hub has read.
     #[prost(uint64, tag = "10")]
     pub log_era: u64,
+    #[prost(message, optional, tag = "11")]
+    pub crashes: ::core::option::Option<MeshCrashes>,
 }
 /// The totals that a hub sends to the hubs of other data centres.
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct MeshExchange {
     #[prost(message, optional, tag = "1")]
     pub loads: ::core::option::Option<MeshLoads>,
@@ -326,6 +361,8 @@
     /// Version of the configuration in force at the hub.
     #[prost(uint64, tag = "4")]
     pub version: u64,
+    #[prost(message, optional, tag = "5")]
+    pub crashes: ::core::option::Option<MeshCrashes>,
 }
 /// Streams that have begun, for the instances that keep them; lists of equal length.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/vanillakeel/src/lib.rs
+++ b/crates/vanillakeel/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod mesh;
 pub mod order;
 pub mod placement;
+pub mod quarantine;
 pub mod router;
 pub mod routes;
 pub mod routing;
--- /dev/null
+++ b/crates/vanillakeel/src/quarantine/state.rs
@@ -0,0 +1,412 @@
+//! Which segments are blamed, and why.
+
+use super::{
+    evidence::{
+        BlamedSegment,
+        CrashReport,
+        Evidence,
+        SoundSegment, //
+    },
+    sound::LastSuccesses,
+};
+use crate::Millis;
+
+/// Settings of a [`Quarantine`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Crashes without a success in between for which a segment is blamed that no upstream is known to
+    /// have answered.
+    pub crashes: u32,
+    /// The same number for a segment that was answered before.
+    pub crashes_of_answered: u32,
+    /// Time within which crashes count as one, in ms: the processes of a machine or a rack end together.
+    pub crash_spacing_ms: u64,
+    /// Time for which a crash is remembered, in ms.
+    pub crash_ttl_ms: u64,
+    /// Time after the last request for it for which a segment stays blamed, in ms.
+    pub hold_ms: u64,
+    /// Time for which news are repeated to other instances, in ms; repetition covers lost datagrams.
+    pub repeat_ms: u64,
+    /// Most segments whose last success is known.
+    pub max_answered: usize,
+    /// Segments that are never blamed, in ascending order.
+    pub exempt: Vec<u64>,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            crashes: 3,
+            crashes_of_answered: 5,
+            crash_spacing_ms: 250,
+            crash_ttl_ms: 60_000,
+            hold_ms: 600_000,
+            repeat_ms: 1_500,
+            max_answered: 4_096,
+            exempt: Vec::new(),
+        }
+    }
+}
+
+/// Most crashes that are remembered.
+const MAX_CRASHES: usize = 64;
+
+/// Most segments that are remembered of a crash.
+const MAX_SUSPECTS: usize = 64;
+
+/// Most segments that are refused at once.
+const MAX_BLAMED: usize = 64;
+
+/// A crash that is remembered.
+#[derive(Clone, Debug)]
+struct Crash {
+    id: u64,
+    at: Millis,
+    /// Sorted.
+    segments: Vec<u64>,
+    /// Time at which a suspect was added last.
+    changed: Millis,
+}
+
+impl Crash {
+    fn has(&self, segment: u64) -> bool {
+        self.segments.binary_search(&segment).is_ok()
+    }
+}
+
+/// A segment that is refused.
+#[derive(Clone, Copy, Debug)]
+struct Blamed {
+    segment: u64,
+    since: Millis,
+    last_asked: Millis,
+}
+
+/// A change of what is refused, for the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// A segment is refused from now on.
+    Blamed {
+        /// Id of the segment.
+        segment: u64,
+        /// Crashes that it explains.
+        crashes: u32,
+        /// Time since the first of them, in ms.
+        first_ms: u64,
+        /// Time since the last known success with it before, in ms.
+        answered_ms: Option<u64>,
+    },
+    /// Another instance has blamed a segment.
+    Adopted {
+        /// Id of the segment.
+        segment: u64,
+    },
+    /// A segment is no longer refused.
+    Lifted {
+        /// Id of the segment.
+        segment: u64,
+        /// Whether an upstream has answered it; otherwise nobody has asked for it for long.
+        is_answered: bool,
+    },
+}
+
+/// Why a request is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refused {
+    /// Id of the blamed segment.
+    pub segment: u64,
+    /// Time for which the segment is refused if nobody asks for it, in ms.
+    pub retry_after_ms: u64,
+}
+
+/// The segments that crash upstreams, as far as an instance knows.
+#[derive(Clone, Debug, Default)]
+pub struct Quarantine {
+    settings: Settings,
+    crashes: Vec<Crash>,
+    answered: LastSuccesses,
+    blamed: Vec<Blamed>,
+}
+
+impl Quarantine {
+    /// Creates a quarantine that blames nothing.
+    #[must_use]
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            settings,
+            ..Self::default()
+        }
+    }
+
+    /// Replaces the settings; segments that are now exempt are no longer refused.
+    pub fn set_settings(&mut self, settings: Settings) -> Vec<Change> {
+        self.settings = settings;
+        let is_exempt = |b: &Blamed| self.settings.exempt.binary_search(&b.segment).is_ok();
+        let lifted: Vec<_> = self.blamed.iter().copied().filter(is_exempt).collect();
+        self.lift(&lifted, false)
+    }
+
+    /// Returns whether an upstream is known to have answered each of these segments.
+    #[must_use]
+    pub fn are_answered(&self, segments: &[u64]) -> bool {
+        segments.iter().all(|s| self.answered.of(*s).is_some())
+    }
+
+    /// Returns the number of segments that are refused.
+    #[must_use]
+    pub const fn len(&self) -> usize {
+        self.blamed.len()
+    }
+
+    /// Returns whether no segment is refused.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        self.blamed.is_empty()
+    }
+
+    /// Returns why a request with these shared segments has to be refused, if it has to be.
+    ///
+    /// The request counts as one that asks for the segment.
+    pub fn refuse(&mut self, now: Millis, segments: &[u64]) -> Option<Refused> {
+        let hold_ms = self.settings.hold_ms;
+        let blamed = self
+            .blamed
+            .iter_mut()
+            .find(|b| segments.contains(&b.segment) && now.since(b.last_asked) < hold_ms)?;
+        blamed.last_asked = blamed.last_asked.max(now);
+        Some(Refused {
+            segment: blamed.segment,
+            retry_after_ms: hold_ms,
+        })
+    }
+
+    /// Records that an upstream has answered a request with these shared segments.
+    pub fn on_answered(&mut self, now: Millis, segments: &[u64]) -> Vec<Change> {
+        let mut changes = Vec::new();
+        for segment in segments {
+            changes.extend(self.on_success(now, *segment));
+        }
+        changes
+    }
+
+    fn on_success(&mut self, at: Millis, segment: u64) -> Vec<Change> {
+        let max_segments = self.settings.max_answered;
+        self.answered.record(at, segment, max_segments);
+        let is_disproved = |b: &Blamed| b.segment == segment && at > b.since;
+        if !self.blamed.iter().any(is_disproved) {
+            return Vec::new();
+        }
+        let lifted: Vec<_> = self.blamed.iter().copied().filter(is_disproved).collect();
+        self.lift(&lifted, true)
+    }
+
+    /// Records the crash of the process `id`, under which requests with these shared segments ran that had
+    /// not been answered for a while.
+    ///
+    /// The same crash may be recorded several times, with further segments.
+    pub fn on_crash(&mut self, now: Millis, id: u64, segments: &[u64]) -> Vec<Change> {
+        self.add_crash(now, id, now, segments);
+        self.judge(now)
+    }
+
+    /// Returns what other instances may not know yet.
+    #[must_use]
+    pub fn evidence(&self, now: Millis) -> Evidence {
+        let repeat_ms = self.settings.repeat_ms;
+        let is_news = |at: Millis| now.since(at) <= repeat_ms;
+        let news = self.crashes.iter().filter(|c| is_news(c.changed));
+        let crashes = news.map(|c| CrashReport {
+            id: c.id,
+            age_ms: now.since(c.at),
+            segments: c.segments.clone(),
+        });
+        let mut suspects: Vec<u64> = self
+            .crashes
+            .iter()
+            .flat_map(|c| &c.segments)
+            .copied()
+            .collect();
+        suspects.extend(self.blamed.iter().map(|b| b.segment));
+        suspects.sort_unstable();
+        suspects.dedup();
+        let has_recent_crash = |s: u64| self.crashes.iter().any(|c| is_news(c.changed) && c.has(s));
+        let sound = suspects.into_iter().filter_map(|segment| {
+            let at = self.answered.of(segment)?;
+            (is_news(at) || has_recent_crash(segment)).then(|| SoundSegment {
+                segment,
+                age_ms: now.since(at),
+            })
+        });
+        let blamed = self.blamed.iter().map(|b| BlamedSegment {
+            segment: b.segment,
+            age_ms: now.since(b.since),
+            asked_ms: now.since(b.last_asked),
+        });
+        Evidence {
+            crashes: crashes.collect(),
+            sound: sound.collect(),
+            blamed: blamed.collect(),
+        }
+    }
+
+    /// Adds what another instance knows.
+    pub fn on_evidence(&mut self, now: Millis, evidence: &Evidence) -> Vec<Change> {
+        let mut changes = Vec::new();
+        for sound in &evidence.sound {
+            changes.extend(self.on_success(now.minus(sound.age_ms), sound.segment));
+        }
+        for crash in &evidence.crashes {
+            let at = now.minus(crash.age_ms);
+            self.add_crash(now, crash.id, at, &crash.segments);
+        }
+        for blamed in &evidence.blamed {
+            changes.extend(self.adopt(now, blamed));
+        }
+        changes.extend(self.judge(now));
+        changes
+    }
+
+    /// Refuses a segment that another instance has blamed, unless it has been answered since.
+    fn adopt(&mut self, now: Millis, told: &BlamedSegment) -> Option<Change> {
+        let since = now.minus(told.age_ms);
+        let last_asked = now.minus(told.asked_ms);
+        let segment = told.segment;
+        if let Some(known) = self.blamed.iter_mut().find(|b| b.segment == segment) {
+            known.last_asked = known.last_asked.max(last_asked);
+            return None;
+        }
+        let is_disproved = self.answered.of(segment) > Some(since);
+        let is_over = told.asked_ms >= self.settings.hold_ms;
+        if is_disproved || is_over || !self.may_blame(segment) {
+            return None;
+        }
+        self.blamed.push(Blamed {
+            segment,
+            since,
+            last_asked,
+        });
+        Some(Change::Adopted { segment })
+    }
+
+    fn may_blame(&self, segment: u64) -> bool {
+        let is_exempt = self.settings.exempt.binary_search(&segment).is_ok();
+        !is_exempt && self.blamed.len() < MAX_BLAMED
+    }
+
+    fn add_crash(&mut self, now: Millis, id: u64, at: Millis, segments: &[u64]) {
+        let found = self.crashes.iter().position(|c| c.id == id);
+        let found = found.unwrap_or_else(|| {
+            if self.crashes.len() >= MAX_CRASHES {
+                self.crashes.remove(0);
+            }
+            self.crashes.push(Crash {
+                id,
+                at,
+                segments: Vec::new(),
+                changed: now,
+            });
+            self.crashes.len() - 1
+        });
+        let crash = &mut self.crashes[found];
+        for segment in segments {
+            if let Err(place) = crash.segments.binary_search(segment)
+                && crash.segments.len() < MAX_SUSPECTS
+            {
+                crash.segments.insert(place, *segment);
+                crash.changed = now;
+            }
+        }
+    }
+
+    /// Drops what is too old and blames segments until the crashes that are left are not evidence enough.
+    fn judge(&mut self, now: Millis) -> Vec<Change> {
+        let (ttl_ms, hold_ms) = (self.settings.crash_ttl_ms, self.settings.hold_ms);
+        self.crashes.retain(|c| now.since(c.at) < ttl_ms);
+        let is_over = |b: &Blamed| now.since(b.last_asked) >= hold_ms;
+        let over: Vec<_> = self.blamed.iter().copied().filter(is_over).collect();
+        let mut changes = self.lift(&over, false);
+        while let Some((segment, crashes, first)) = self.next_to_blame() {
+            self.blamed.push(Blamed {
+                segment,
+                since: now,
+                last_asked: now,
+            });
+            changes.push(Change::Blamed {
+                segment,
+                crashes,
+                first_ms: now.since(first),
+                answered_ms: self.answered.of(segment).map(|at| now.since(at)),
+            });
+        }
+        changes
+    }
+
+    /// Returns the segment with the most crashes, if they are enough to blame it, with their number and the
+    /// time of the first.
+    ///
+    /// While several have as many, further crashes have to decide between them, but not for ever.
+    fn next_to_blame(&self) -> Option<(u64, u32, Millis)> {
+        let is_explained = |c: &&Crash| self.blamed.iter().any(|b| c.has(b.segment));
+        let unexplained: Vec<&Crash> = self.crashes.iter().filter(|c| !is_explained(c)).collect();
+        let mut suspects: Vec<u64> = unexplained
+            .iter()
+            .flat_map(|c| &c.segments)
+            .copied()
+            .collect();
+        suspects.sort_unstable();
+        suspects.dedup();
+        let candidates: Vec<_> = suspects
+            .into_iter()
+            .filter(|segment| self.may_blame(*segment))
+            .filter_map(|segment| {
+                let (count, first) = self.count_crashes(&unexplained, segment)?;
+                let needed = match self.answered.of(segment) {
+                    None => self.settings.crashes,
+                    Some(_) => self.settings.crashes_of_answered,
+                };
+                (count >= needed).then_some((segment, count, first))
+            })
+            .collect();
+        let best = *candidates.iter().max_by_key(|(_, count, _)| *count)?;
+        let ties = candidates.iter().filter(|(_, count, _)| *count == best.1);
+        let is_decided = ties.count() == 1 || best.1 >= self.settings.crashes_of_answered;
+        is_decided.then_some(best)
+    }
+
+    /// Returns the number of separate crashes since the last success with a segment, and the time of the
+    /// first.
+    fn count_crashes(&self, crashes: &[&Crash], segment: u64) -> Option<(u32, Millis)> {
+        let answered = self.answered.of(segment);
+        let is_since = |at: Millis| answered.is_none_or(|answered| at > answered);
+        let mut times: Vec<Millis> = crashes
+            .iter()
+            .filter(|c| c.has(segment) && is_since(c.at))
+            .map(|c| c.at)
+            .collect();
+        times.sort_unstable();
+        let first = *times.first()?;
+        let (mut count, mut last) = (1, first);
+        for at in times {
+            if at.since(last) >= self.settings.crash_spacing_ms {
+                count += 1;
+                last = at;
+            }
+        }
+        Some((count, first))
+    }
+
+    fn lift(&mut self, lifted: &[Blamed], is_answered: bool) -> Vec<Change> {
+        let changes = lifted.iter().map(|b| Change::Lifted {
+            segment: b.segment,
+            is_answered,
+        });
+        let changes = changes.collect();
+        self.blamed
+            .retain(|b| lifted.iter().all(|l| l.segment != b.segment));
+        // What they had explained is no evidence any more.
+        for blamed in lifted {
+            self.crashes.retain(|c| !c.has(blamed.segment));
+        }
+        changes
+    }
+}
