fix: several requests with a crashing segment at the same time count for more than one

Cause: crashes within 250 ms counted as one, to tell a rack from a segment; callers whose bad requests arrive together crash several upstreams each time, so that three separate times took up to 5.3 s and up to 17 crashes.

Fix: five crashes at two or more times suffice, too, for any segment. blamed_segments::several_at_once states it and fails without it. Ruled out: verdicts that were lifted, and checks that missed a crash (lines of a run with eleven crashes show each of them).

--- a/crates/vanillakeel/src/quarantine/state.rs
+++ b/crates/vanillakeel/src/quarantine/state.rs
@@ -17,7 +17,8 @@
     /// Crashes without a success in between for which a segment is blamed that no upstream is known to
     /// have answered.
     pub crashes: u32,
-    /// The same number for a segment that was answered before.
+    /// The same number for a segment that was answered before. So many suffice for any segment if they are
+    /// not all at the same time.
     pub crashes_of_answered: u32,
     /// Time within which crashes count as one, in ms: the processes of a machine or a rack end together.
     pub crash_spacing_ms: u64,
@@ -48,6 +49,9 @@
     }
 }
 
+/// Fewest times at which upstreams have crashed before a segment is blamed.
+const MIN_MOMENTS: u32 = 2;
+
 /// Most crashes that are remembered.
 const MAX_CRASHES: usize = 64;
 
@@ -74,6 +78,21 @@
     }
 }
 
+/// Crashes with a segment under suspicion and without a success in between.
+#[derive(Clone, Copy, Debug)]
+struct CrashSeries {
+    crashes: u32,
+    /// Number of crashes if those at almost the same time count as one.
+    moments: u32,
+    first: Millis,
+}
+
+impl CrashSeries {
+    const fn length(&self) -> (u32, u32) {
+        (self.moments, self.crashes)
+    }
+}
+
 /// A segment that is refused.
 #[derive(Clone, Copy, Debug)]
 struct Blamed {
@@ -325,7 +344,7 @@
         let is_over = |b: &Blamed| now.since(b.last_asked) >= hold_ms;
         let over: Vec<_> = self.blamed.iter().copied().filter(is_over).collect();
         let mut changes = self.lift(&over, false);
-        while let Some((segment, crashes, first)) = self.next_to_blame() {
+        while let Some((segment, series)) = self.next_to_blame() {
             self.blamed.push(Blamed {
                 segment,
                 since: now,
@@ -333,19 +352,18 @@
             });
             changes.push(Change::Blamed {
                 segment,
-                crashes,
-                first_ms: now.since(first),
+                crashes: series.crashes,
+                first_ms: now.since(series.first),
                 answered_ms: self.answered.of(segment).map(|at| now.since(at)),
             });
         }
         changes
     }
 
-    /// Returns the segment with the most crashes, if they are enough to blame it, with their number and the
-    /// time of the first.
+    /// Returns the segment with the longest series of crashes, if it is long enough to blame it.
     ///
-    /// While several have as many, further crashes have to decide between them, but not for ever.
-    fn next_to_blame(&self) -> Option<(u64, u32, Millis)> {
+    /// While several have the same series, further crashes have to decide between them, but not for ever.
+    fn next_to_blame(&self) -> Option<(u64, CrashSeries)> {
         let is_explained = |c: &&Crash| self.blamed.iter().any(|b| c.has(b.segment));
         let unexplained: Vec<&Crash> = self.crashes.iter().filter(|c| !is_explained(c)).collect();
         let mut suspects: Vec<u64> = unexplained
@@ -359,23 +377,31 @@
             .into_iter()
             .filter(|segment| self.may_blame(*segment))
             .filter_map(|segment| {
-                let (count, first) = self.count_crashes(&unexplained, segment)?;
-                let needed = match self.answered.of(segment) {
-                    None => self.settings.crashes,
-                    Some(_) => self.settings.crashes_of_answered,
-                };
-                (count >= needed).then_some((segment, count, first))
+                let series = self.series(&unexplained, segment)?;
+                self.suffices(segment, series).then_some((segment, series))
             })
             .collect();
-        let best = *candidates.iter().max_by_key(|(_, count, _)| *count)?;
-        let ties = candidates.iter().filter(|(_, count, _)| *count == best.1);
-        let is_decided = ties.count() == 1 || best.1 >= self.settings.crashes_of_answered;
-        is_decided.then_some(best)
+        let (segment, longest) = *candidates.iter().max_by_key(|(_, s)| s.length())?;
+        let is_longest = |s: &CrashSeries| s.length() == longest.length();
+        let ties = candidates.iter().filter(|(_, s)| is_longest(s)).count();
+        let is_decided = ties == 1 || longest.moments >= self.settings.crashes_of_answered;
+        is_decided.then_some((segment, longest))
     }
 
-    /// Returns the number of separate crashes since the last success with a segment, and the time of the
-    /// first.
-    fn count_crashes(&self, crashes: &[&Crash], segment: u64) -> Option<(u32, Millis)> {
+    /// Returns whether a series of crashes is long enough to blame a segment.
+    fn suffices(&self, segment: u64, series: CrashSeries) -> bool {
+        let cfg = &self.settings;
+        let needed = match self.answered.of(segment) {
+            None => cfg.crashes,
+            Some(_) => cfg.crashes_of_answered,
+        };
+        // Several requests with the segment may crash as many upstreams at the same time.
+        let has_many = series.moments >= MIN_MOMENTS && series.crashes >= cfg.crashes_of_answered;
+        series.moments >= needed || has_many
+    }
+
+    /// Returns the crashes since the last success with a segment.
+    fn series(&self, crashes: &[&Crash], segment: u64) -> Option<CrashSeries> {
         let answered = self.answered.of(segment);
         let is_since = |at: Millis| answered.is_none_or(|answered| at > answered);
         let mut times: Vec<Millis> = crashes
@@ -385,14 +411,18 @@
             .collect();
         times.sort_unstable();
         let first = *times.first()?;
-        let (mut count, mut last) = (1, first);
-        for at in times {
+        let (mut moments, mut last) = (1, first);
+        for at in &times {
             if at.since(last) >= self.settings.crash_spacing_ms {
-                count += 1;
-                last = at;
+                moments += 1;
+                last = *at;
             }
         }
-        Some((count, first))
+        Some(CrashSeries {
+            crashes: u32::try_from(times.len()).unwrap_or(u32::MAX),
+            moments,
+            first,
+        })
     }
 
     fn lift(&mut self, lifted: &[Blamed], is_answered: bool) -> Vec<Change> {
--- a/crates/vanillakeel/tests/blamed_segments.rs
+++ b/crates/vanillakeel/tests/blamed_segments.rs
@@ -57,6 +57,22 @@
     assert!((1..50).all(|segment| !is_refused(&mut quarantine, second(2), segment)));
 }
 
+/// Guards against a verdict that comes late since several requests with the segment arrive together: they
+/// crash as many upstreams at the same time.
+#[test]
+fn several_at_once() {
+    let mut quarantine = quarantine();
+    quarantine.on_answered(second(0), &[FIRST]);
+    for n in 0..4 {
+        quarantine.on_crash(second(1), n, &[FIRST, BAD]);
+    }
+    assert!(!is_refused(&mut quarantine, second(1), BAD));
+    quarantine.on_answered(second(2), &[FIRST]);
+    quarantine.on_crash(second(2).plus(500), 4, &[FIRST, BAD]);
+    assert!(is_refused(&mut quarantine, second(3), BAD));
+    assert!(quarantine.refuse(second(3), &[FIRST]).is_none());
+}
+
 /// Guards against a segment that is blamed although upstreams answer it between the crashes.
 #[test]
 fn answered_in_between() {
