fix: an event without end is taken for a failure of its upstream

Cause: the beginning of an event of a resumable stream is held back until the event is complete, without a bound; an upstream that sends bytes without end filled the memory until the deadline.

Fix: an event over 1 MiB ends the call as failed and closes its connection, on any stream.

--- a/crates/vanillakeel-entry/src/gateway/relay.rs
+++ b/crates/vanillakeel-entry/src/gateway/relay.rs
@@ -197,7 +197,10 @@
             match polled {
                 Polled::Frame(Some(Ok(frame))) => {
                     let data = frame.into_data().ok();
-                    if let Some(bytes) = data.and_then(|data| self.on_data(data)) {
+                    let relayed = data.and_then(|data| self.on_data(data));
+                    if self.events.as_ref().is_some_and(RelayedEvents::is_too_long) {
+                        self.on_endless_event();
+                    } else if let Some(bytes) = relayed {
                         return Poll::Ready(Some(Ok(Frame::data(bytes))));
                     }
                 }
@@ -319,6 +322,13 @@
         }
     }
 
+    /// Handles an event that does not end; closing the connection ends it.
+    fn on_endless_event(&mut self) {
+        if let Some(call) = self.take_call() {
+            self.on_upstream_failure(call, "sent an event without end", None);
+        }
+    }
+
     /// Ends a complete body.
     fn complete(&mut self, call: Call) {
         let ending = self.ending(&call);
--- a/crates/vanillakeel-entry/src/gateway/relayed_events.rs
+++ b/crates/vanillakeel-entry/src/gateway/relayed_events.rs
@@ -13,6 +13,9 @@
 /// Byte order mark, which may only stand at the beginning of a stream.
 const BYTE_ORDER_MARK: &[u8] = b"\xef\xbb\xbf";
 
+/// Largest event of a stream, in bytes; an upstream in trouble may send one without end.
+const MAX_EVENT_BYTES: u64 = 1 << 20;
+
 /// Where a run at another upstream continues a stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum ResumePoint {
@@ -98,6 +101,11 @@
         self.scanner.is_between_events()
     }
 
+    /// Returns whether the event that has begun is too long to be one.
+    pub(super) const fn is_too_long(&self) -> bool {
+        self.partial_bytes > MAX_EVENT_BYTES
+    }
+
     /// Returns the number of bytes after the last complete event.
     pub(super) const fn partial_bytes(&self) -> u64 {
         self.partial_bytes
