test: schedules of a crashing prompt segment over instances

Upstreams crash on a segment, beside crashes by chance and of a third of them at once; datagrams are lost, instances restart and are cut off from each other.

--- a/crates/vanillakeel-bench/src/faults/claims.rs
+++ b/crates/vanillakeel-bench/src/faults/claims.rs
@@ -67,6 +67,8 @@
     pub counts_unheard: bool,
     /// A process takes nothing of the slack in its first window.
     pub starts_without_slack: bool,
+    /// Instances tell each other of crashes.
+    pub shares_crashes: bool,
 }
 
 impl Default for Guards {
@@ -81,6 +83,7 @@
             dates_reads: true,
             counts_unheard: true,
             starts_without_slack: true,
+            shares_crashes: true,
         }
     }
 }
--- a/crates/vanillakeel-bench/src/faults/command.rs
+++ b/crates/vanillakeel-bench/src/faults/command.rs
@@ -5,6 +5,7 @@
     budgets,
     claims,
     configs,
+    crashing,
     leases,
     restored_list,
     restored_log,
@@ -19,9 +20,16 @@
 use serde::Serialize;
 use std::error::Error;
 
+/// Part of the steps of a schedule for crashing segments, as each of them moves all requests and evidence.
+const CRASHING_STEPS_DIVISOR: u64 = 4;
+
+/// Sound requests that begin for each one that is refused for a segment, at least: half of them have to
+/// begin after a quarantine, and nearly all of them over a whole schedule.
+const MIN_SOUND_PER_REFUSED: u64 = 20;
+
 /// Faults found over all schedules.
 ///
-/// The counts `retries`, `runs`, `versions`, `orders`, `holders`, `streams`, `continued_streams`,
+/// The counts `crashes`, `sound_sends`, `retries`, `runs`, `versions`, `orders`, `holders`, `streams`, `continued_streams`,
 /// `unknown_streams` and `restored` are not faults; they show that the schedules did exercise the library.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct Totals {
@@ -56,6 +64,14 @@
     pub kept_upstreams: u64,
     /// Times that all instances together had made more retries in a window than their budget allows.
     pub overspent: u64,
+    /// Requests with a prompt segment that crashes upstreams that were sent later than allowed.
+    pub late_sends: u64,
+    /// Sound requests that were refused for a segment.
+    pub wrongly_refused: u64,
+    /// Crashes that a segment caused.
+    pub crashes: u64,
+    /// Sound requests that were sent beside those.
+    pub sound_sends: u64,
     /// Retries that the budgets allowed.
     pub retries: u64,
     /// Runs of requests with an idempotency key.
@@ -95,6 +111,8 @@
             && self.unknown_upstreams == 0
             && self.kept_upstreams == 0
             && self.overspent == 0
+            && self.late_sends == 0
+            && self.wrongly_refused * MIN_SOUND_PER_REFUSED <= self.sound_sends
     }
 }
 
@@ -105,6 +123,7 @@
     for seed in first_seed..first_seed.saturating_add(schedules) {
         let budgets = budgets::run(seed, steps, guards);
         let claims = claims::run(seed, steps, guards);
+        let crashing = crashing::run(seed, steps / CRASHING_STEPS_DIVISOR, guards);
         let configs = configs::run(seed, steps, guards);
         let leases = leases::run(seed, steps, guards);
         let restored_list = restored_list::run(seed, steps, guards);
@@ -113,6 +132,10 @@
         totals.schedules += 1;
         totals.overspent += budgets.overspent;
         totals.retries += budgets.retries;
+        totals.late_sends += crashing.late_sends;
+        totals.wrongly_refused += crashing.wrongly_refused;
+        totals.crashes += crashing.crashes;
+        totals.sound_sends += crashing.sound_sends;
         totals.doubled += claims.doubled;
         totals.false_not_run += claims.false_not_run;
         totals.runs += claims.runs;
--- a/crates/vanillakeel-bench/tests/random_schedules.rs
+++ b/crates/vanillakeel-bench/tests/random_schedules.rs
@@ -34,6 +34,19 @@
     assert_eq!(totals.overspent, 0, "{totals:?}");
 }
 
+/// Guards against requests with a crashing segment that reach upstreams later than allowed, and against a
+/// quarantine that refuses sound requests, beside crashes by chance, lost datagrams, restarts and cuts.
+#[test]
+fn no_late_sends() {
+    let totals = run_schedules(SEED, SCHEDULES, STEPS, Guards::default());
+    assert!(totals.crashes > SCHEDULES, "{totals:?}");
+    assert_eq!(totals.late_sends, 0, "{totals:?}");
+    assert!(
+        totals.wrongly_refused * 20 <= totals.sound_sends,
+        "{totals:?}"
+    );
+}
+
 /// Guards against checks that miss a fault: with a safeguard of the library turned off, the checks
 /// have to count the fault that it prevents.
 #[rstest]
@@ -49,6 +62,7 @@
 #[case::old_answer(Guards { dates_reads: false, ..Guards::default() }, |t: &Totals| t.wrongly_removed)]
 #[case::unheard_instances(Guards { counts_unheard: false, ..Guards::default() }, |t: &Totals| t.overspent)]
 #[case::slack_again(Guards { starts_without_slack: false, ..Guards::default() }, |t: &Totals| t.overspent)]
+#[case::untold_crashes(Guards { shares_crashes: false, ..Guards::default() }, |t: &Totals| t.late_sends)]
 fn missing_guard_found(#[case] guards: Guards, #[case] count: fn(&Totals) -> u64) {
     let totals = run_schedules(SEED, SCHEDULES, STEPS, guards);
     assert!(count(&totals) > 0, "{totals:?}");
