--- a/crates/vanillakeel/src/lib.rs
+++ b/crates/vanillakeel/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`routes`] holds its configuration: routes, services and keys.
 //! - [`fleet`] tracks the upstreams that discovery lists and chooses one for each request.
 //! - [`streams`] knows which software version began a stream that a caller takes up again.
+//! - [`quarantine`] finds the prompt segments that crash upstreams.
 //! - [`mesh`] exchanges load, and what was read from the log, between instances.
 //!
 //! The `vanillakeel-entry` daemon serves requests by class and priority:
