refactor: a quarantine looks only at segments that a further crash may blame

Cause: found on reading the diff. Each message from a peer made an instance weigh every segment of up to 64 crashes, and a hub does so hundreds of times a second; successes of all suspects were told. Besides, a request that may not be sent again waited for the check whether its upstream had crashed.

What: segments with two crashes are watched; evidence is weighed only when something of it is new, and told for 0.6 s. A request that can't be repeated gets its answer at once. Connections of checks are counted. 277 tests of the adapter pass, blamed_segments and the schedules, too.

--- a/crates/vanillakeel-entry/src/gateway/crashes.rs
+++ b/crates/vanillakeel-entry/src/gateway/crashes.rs
@@ -135,7 +135,11 @@
     }
     let limit = Duration::from_millis(CRASH_CHECK_MS);
     let opening = HttpConnection::open(pick.address, shared.connection_timeouts());
-    timeout(limit, opening).await.ok()
+    let opened = timeout(limit, opening).await.ok()?;
+    if opened.is_ok() {
+        shared.metrics.upstream_connections.inc();
+    }
+    Some(opened)
 }
 
 fn is_live(shared: &Shared, pick: &Pick) -> bool {
--- a/crates/vanillakeel-entry/src/gateway/exchange.rs
+++ b/crates/vanillakeel-entry/src/gateway/exchange.rs
@@ -162,7 +162,7 @@
         log_failure(shared, request, attempts, &failure);
         let is_broken = matches!(failure, SendFailure::Broken(_)) && server_error.is_none();
         let may_repeat = match attempts.sent_to.take().filter(|_| is_broken) {
-            Some(pick) => may_repeat_broken(shared, request, pick).await,
+            Some(pick) => may_repeat_broken(shared, request, attempts, pick).await,
             None => true,
         };
         if may_repeat && may_retry(shared, request, attempts, &failure).await {
@@ -182,14 +182,29 @@
 
 /// Returns whether a request whose call has broken off may be sent again, as far as that depends on whether
 /// it may have crashed the upstream.
-async fn may_repeat_broken(shared: &Rc<Shared>, request: &Rc<RoutedRequest>, pick: Pick) -> bool {
+async fn may_repeat_broken(
+    shared: &Rc<Shared>,
+    request: &Rc<RoutedRequest>,
+    attempts: &Attempts,
+    pick: Pick,
+) -> bool {
     let recorded = crashes::record_broken(Rc::clone(shared), Rc::clone(request), pick, None);
-    // What was found is also recorded if the caller leaves meanwhile.
-    let recorded = spawn_local(recorded).await;
-    let has_crashed = recorded.unwrap_or(false);
+    // What is found is also recorded if the caller leaves meanwhile.
+    let recorded = spawn_local(recorded);
+    if !allows_retry(request, attempts) {
+        return false;
+    }
+    let has_crashed = recorded.await.unwrap_or(false);
     !has_crashed || crashes::may_repeat(shared, request)
 }
 
+/// Returns whether the route of a request allows a further attempt: one that may have run is repeated only
+/// on an idempotent route, while it has attempts left.
+fn allows_retry(request: &RoutedRequest, attempts: &Attempts) -> bool {
+    let is_last_run = attempts.possible_runs >= request.route.max_attempts.max(1);
+    attempts.possible_runs == 0 || (request.route.kind.is_idempotent() && !is_last_run)
+}
+
 fn log_failure(
     shared: &Shared,
     request: &RoutedRequest,
@@ -222,9 +237,7 @@
     attempts: &mut Attempts,
     failure: &SendFailure,
 ) -> bool {
-    let is_last_run = attempts.possible_runs >= request.route.max_attempts.max(1);
-    let allows_retry =
-        attempts.possible_runs == 0 || (request.route.kind.is_idempotent() && !is_last_run);
+    let allows_retry = allows_retry(request, attempts);
     match failure {
         SendFailure::ClosedWhileIdle => true,
         SendFailure::Overload(_) => false,
--- a/crates/vanillakeel/src/quarantine/state.rs
+++ b/crates/vanillakeel/src/quarantine/state.rs
@@ -42,7 +42,7 @@
             crash_spacing_ms: 250,
             crash_ttl_ms: 60_000,
             hold_ms: 600_000,
-            repeat_ms: 1_500,
+            repeat_ms: 600,
             max_answered: 4_096,
             exempt: Vec::new(),
         }
@@ -143,6 +143,8 @@
 pub struct Quarantine {
     settings: Settings,
     crashes: Vec<Crash>,
+    /// Segments with so many crashes that a further one may blame them, sorted.
+    watched: Vec<u64>,
     answered: LastSuccesses,
     blamed: Vec<Blamed>,
 }
@@ -225,7 +227,7 @@
     /// The same crash may be recorded several times, with further segments.
     pub fn on_crash(&mut self, now: Millis, id: u64, segments: &[u64]) -> Vec<Change> {
         self.add_crash(now, id, now, segments);
-        self.judge(now)
+        self.judge(now, true)
     }
 
     /// Returns what other instances may not know yet.
@@ -239,17 +241,10 @@
             age_ms: now.since(c.at),
             segments: c.segments.clone(),
         });
-        let mut suspects: Vec<u64> = self
-            .crashes
-            .iter()
-            .flat_map(|c| &c.segments)
-            .copied()
-            .collect();
-        suspects.extend(self.blamed.iter().map(|b| b.segment));
-        suspects.sort_unstable();
-        suspects.dedup();
+        let blamed = self.blamed.iter().map(|b| b.segment);
+        let suspects = self.watched.iter().copied().chain(blamed);
         let has_recent_crash = |s: u64| self.crashes.iter().any(|c| is_news(c.changed) && c.has(s));
-        let sound = suspects.into_iter().filter_map(|segment| {
+        let sound = suspects.filter_map(|segment| {
             let at = self.answered.of(segment)?;
             (is_news(at) || has_recent_crash(segment)).then(|| SoundSegment {
                 segment,
@@ -274,14 +269,15 @@
         for sound in &evidence.sound {
             changes.extend(self.on_success(now.minus(sound.age_ms), sound.segment));
         }
+        let mut is_new = false;
         for crash in &evidence.crashes {
             let at = now.minus(crash.age_ms);
-            self.add_crash(now, crash.id, at, &crash.segments);
+            is_new |= self.add_crash(now, crash.id, at, &crash.segments);
         }
         for blamed in &evidence.blamed {
             changes.extend(self.adopt(now, blamed));
         }
-        changes.extend(self.judge(now));
+        changes.extend(self.judge(now, is_new));
         changes
     }
 
@@ -312,7 +308,8 @@
         !is_exempt && self.blamed.len() < MAX_BLAMED
     }
 
-    fn add_crash(&mut self, now: Millis, id: u64, at: Millis, segments: &[u64]) {
+    /// Adds a crash or further suspects of it; returns whether any of this is new.
+    fn add_crash(&mut self, now: Millis, id: u64, at: Millis, segments: &[u64]) -> bool {
         let found = self.crashes.iter().position(|c| c.id == id);
         let found = found.unwrap_or_else(|| {
             if self.crashes.len() >= MAX_CRASHES {
@@ -327,6 +324,7 @@
             self.crashes.len() - 1
         });
         let crash = &mut self.crashes[found];
+        let known = crash.segments.len();
         for segment in segments {
             if let Err(place) = crash.segments.binary_search(segment)
                 && crash.segments.len() < MAX_SUSPECTS
@@ -335,15 +333,38 @@
                 crash.changed = now;
             }
         }
+        crash.segments.len() > known
     }
 
-    /// Drops what is too old and blames segments until the crashes that are left are not evidence enough.
-    fn judge(&mut self, now: Millis) -> Vec<Change> {
+    /// Finds the segments that a further crash may blame.
+    fn watch(&mut self) {
+        let needed = self.settings.crashes.min(MIN_MOMENTS) as usize;
+        let mut suspects: Vec<u64> = self
+            .crashes
+            .iter()
+            .flat_map(|c| &c.segments)
+            .copied()
+            .collect();
+        suspects.sort_unstable();
+        let runs = suspects.chunk_by(|a, b| a == b);
+        self.watched = runs
+            .filter(|run| run.len() >= needed)
+            .map(|run| run[0])
+            .collect();
+    }
+
+    /// Ends verdicts that are over; if a crash is new, blames segments until the crashes that are left are
+    /// not evidence enough.
+    fn judge(&mut self, now: Millis, is_new: bool) -> Vec<Change> {
         let (ttl_ms, hold_ms) = (self.settings.crash_ttl_ms, self.settings.hold_ms);
-        self.crashes.retain(|c| now.since(c.at) < ttl_ms);
         let is_over = |b: &Blamed| now.since(b.last_asked) >= hold_ms;
         let over: Vec<_> = self.blamed.iter().copied().filter(is_over).collect();
         let mut changes = self.lift(&over, false);
+        if !is_new {
+            return changes;
+        }
+        self.crashes.retain(|c| now.since(c.at) < ttl_ms);
+        self.watch();
         while let Some((segment, series)) = self.next_to_blame() {
             self.blamed.push(Blamed {
                 segment,
@@ -366,15 +387,10 @@
     fn next_to_blame(&self) -> Option<(u64, CrashSeries)> {
         let is_explained = |c: &&Crash| self.blamed.iter().any(|b| c.has(b.segment));
         let unexplained: Vec<&Crash> = self.crashes.iter().filter(|c| !is_explained(c)).collect();
-        let mut suspects: Vec<u64> = unexplained
+        let candidates: Vec<_> = self
+            .watched
             .iter()
-            .flat_map(|c| &c.segments)
             .copied()
-            .collect();
-        suspects.sort_unstable();
-        suspects.dedup();
-        let candidates: Vec<_> = suspects
-            .into_iter()
             .filter(|segment| self.may_blame(*segment))
             .filter_map(|segment| {
                 let series = self.series(&unexplained, segment)?;
@@ -426,6 +442,9 @@
     }
 
     fn lift(&mut self, lifted: &[Blamed], is_answered: bool) -> Vec<Change> {
+        if lifted.is_empty() {
+            return Vec::new();
+        }
         let changes = lifted.iter().map(|b| Change::Lifted {
             segment: b.segment,
             is_answered,
@@ -437,6 +456,7 @@
         for blamed in lifted {
             self.crashes.retain(|c| !c.has(blamed.segment));
         }
+        self.watch();
         changes
     }
 }
