fix: a success lifts a quarantine at all instances

Cause: found on reading the code once more. The instance that sees a success lifts its own verdict and tells the success for as long as the segment is under suspicion, which has just ended; the others went on refusing the segment for as long as it was asked for.

Fix: an instance that hears of a verdict which a later success disproves tells that success. It goes on while the others repeat the verdict, so lost datagrams do no harm.

Evidence: blamed_segments::lifted_for_others fails without it and passes.

--- a/crates/vanillakeel/src/quarantine/state.rs
+++ b/crates/vanillakeel/src/quarantine/state.rs
@@ -147,6 +147,9 @@
     watched: Vec<u64>,
     answered: LastSuccesses,
     blamed: Vec<Blamed>,
+    /// Segments that another instance refuses although they have been answered since, with the times at
+    /// which it said so last.
+    disputed: Vec<(u64, Millis)>,
 }
 
 impl Quarantine {
@@ -244,12 +247,14 @@
         let blamed = self.blamed.iter().map(|b| b.segment);
         let suspects = self.watched.iter().copied().chain(blamed);
         let has_recent_crash = |s: u64| self.crashes.iter().any(|c| is_news(c.changed) && c.has(s));
-        let sound = suspects.filter_map(|segment| {
-            let at = self.answered.of(segment)?;
-            (is_news(at) || has_recent_crash(segment)).then(|| SoundSegment {
-                segment,
-                age_ms: now.since(at),
-            })
+        let is_recent = |s: &u64| self.answered.of(*s).is_some_and(is_news);
+        let disputed = self.disputed.iter().filter(|(_, at)| is_news(*at));
+        let told = suspects
+            .filter(|s| is_recent(s) || has_recent_crash(*s))
+            .chain(disputed.map(|(segment, _)| *segment));
+        let sound = told.filter_map(|segment| {
+            let age_ms = now.since(self.answered.of(segment)?);
+            Some(SoundSegment { segment, age_ms })
         });
         let blamed = self.blamed.iter().map(|b| BlamedSegment {
             segment: b.segment,
@@ -290,9 +295,12 @@
             known.last_asked = known.last_asked.max(last_asked);
             return None;
         }
-        let is_disproved = self.answered.of(segment) > Some(since);
+        if self.answered.of(segment) > Some(since) {
+            self.dispute(now, segment);
+            return None;
+        }
         let is_over = told.asked_ms >= self.settings.hold_ms;
-        if is_disproved || is_over || !self.may_blame(segment) {
+        if is_over || !self.may_blame(segment) {
             return None;
         }
         self.blamed.push(Blamed {
@@ -303,6 +311,16 @@
         Some(Change::Adopted { segment })
     }
 
+    /// Notes that other instances have to learn of the last success with a segment.
+    fn dispute(&mut self, now: Millis, segment: u64) {
+        let repeat_ms = self.settings.repeat_ms;
+        self.disputed
+            .retain(|(s, at)| *s != segment && now.since(*at) <= repeat_ms);
+        if self.disputed.len() < MAX_BLAMED {
+            self.disputed.push((segment, now));
+        }
+    }
+
     fn may_blame(&self, segment: u64) -> bool {
         let is_exempt = self.settings.exempt.binary_search(&segment).is_ok();
         !is_exempt && self.blamed.len() < MAX_BLAMED
--- a/crates/vanillakeel/tests/blamed_segments.rs
+++ b/crates/vanillakeel/tests/blamed_segments.rs
@@ -113,6 +113,25 @@
     assert!(!is_refused(&mut quarantine, second(4), BAD));
 }
 
+/// Guards against a quarantine that only the instance lifts that has seen the success, while the others refuse
+/// the segment for as long as it is asked for.
+#[test]
+fn lifted_for_others() {
+    let (mut seeing, mut other) = (quarantine(), quarantine());
+    for n in 1..=3 {
+        seeing.on_crash(second(n), n, &[BAD]);
+    }
+    other.on_evidence(second(4), &seeing.evidence(second(4)));
+    assert!(is_refused(&mut other, second(4), BAD));
+    seeing.on_answered(second(5), &[BAD]);
+    // The news of the success itself are lost.
+    let later = second(10);
+    seeing.on_evidence(later, &other.evidence(later));
+    other.on_evidence(later, &seeing.evidence(later));
+    assert!(!is_refused(&mut other, later, BAD));
+    assert!(!is_refused(&mut seeing, later, BAD));
+}
+
 /// Guards against requests that reach upstreams again while they go on coming, and against a segment that is
 /// refused for ever after they have ended.
 #[test]
