feat: a line for each answer that names a rate limit

No line said that an upstream names the requests a second that it takes, so the hypotheses of the incident (nobody reads it; each instance holds it for itself; it is known too late) could not be told apart. The header has a name of the product's own and one of the platform, and is decoded into a type; values that can't be read are shown, cut to 32 bytes. No decision depends on it yet.

--- a/crates/vanillakeel-entry/src/gateway.rs
+++ b/crates/vanillakeel-entry/src/gateway.rs
@@ -35,6 +35,7 @@
 mod operators;
 mod peers;
 mod progress;
+mod rate_limits;
 mod relay;
 mod relayed_events;
 mod request;
--- a/crates/vanillakeel-entry/src/gateway/exchange.rs
+++ b/crates/vanillakeel-entry/src/gateway/exchange.rs
@@ -20,6 +20,7 @@
     framing::BodyFraming,
     headers,
     lines::Kind,
+    rate_limits,
     relayed_events::ResumePoint,
     request::RoutedRequest,
     response::{
@@ -495,6 +496,9 @@
     call.max_idle_ms = max_idle_ms(shared, headers);
     call.framing = BodyFraming::of(headers);
     let is_misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
+    if !is_misdirected {
+        rate_limits::record_head(shared, request, &call.pick, headers);
+    }
     if is_misdirected || headers.contains_key(&names.not_run) {
         attempts.possible_runs -= 1;
         // 421 Misdirected Request: the expected upstream is not at this address any more.
--- a/crates/vanillakeel-entry/src/gateway/header_names.rs
+++ b/crates/vanillakeel-entry/src/gateway/header_names.rs
@@ -30,6 +30,8 @@
     pub not_run: HeaderName,
     /// Set by an upstream on each successful answer, to show that the answer is its own.
     pub seal: HeaderName,
+    /// Requests a second that an upstream takes from all instances together, set by one in need.
+    pub rate_limit: HeaderName,
     /// Id of the request that brought the first event of a stream, set by a caller that takes the stream
     /// up with another request.
     pub resumes: HeaderName,
@@ -51,6 +53,7 @@
             cache_source: name("x-cache-source"),
             not_run: name("x-not-run"),
             seal: name("x-seal"),
+            rate_limit: name("x-rate-limit"),
             resumes: name("x-resumes"),
             reserved: Vec::new(),
         }
--- a/crates/vanillakeel/src/lib.rs
+++ b/crates/vanillakeel/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`fleet`] tracks the upstreams that discovery lists and chooses one for each request.
 //! - [`streams`] knows which software version began a stream that a caller takes up again.
 //! - [`quarantine`] finds the prompt segments that crash upstreams.
+//! - [`rate_limits`] holds the rates that upstreams name.
 //! - [`mesh`] exchanges load, and what was read from the log, between instances.
 //!
 //! The `vanillakeel-entry` daemon serves requests by class and priority:
@@ -53,6 +54,7 @@
 pub mod order;
 pub mod placement;
 pub mod quarantine;
+pub mod rate_limits;
 pub mod router;
 pub mod routes;
 pub mod routing;
