--- a/crates/vanillakeel-entry/src/gateway/request.rs
+++ b/crates/vanillakeel-entry/src/gateway/request.rs
@@ -42,7 +42,7 @@
 };
 use tokio::time::timeout;
 use vanillakeel::{
-    Millis,
+    Millis, division,
     fleet::PromptSegment,
     order,
     routes::{
@@ -360,10 +360,12 @@
     let rank = table.rank(workspace, route);
     set(&names.priority, &rank.to_string());
     let max_connections = table.service(service).map_or(1, |s| s.max_connections);
-    let instances = shared
-        .sharing_instances()
-        .unwrap_or_else(|| shared.settings.borrow().retries.instances)
-        .max(1);
+    let assumed_instances = shared.settings.borrow().retries.instances;
+    let max_connections = division::whole_part(
+        max_connections,
+        shared.sharing_instances(),
+        assumed_instances,
+    );
     let path = head.uri.path_and_query().map_or("/", |p| p.as_str());
     let prompt_segments =
         parse_prompt_segments(headers::str_value(&head.headers, &names.prompt_segments));
@@ -382,7 +384,7 @@
         rank,
         service: Arc::clone(service),
         uri: path.parse().map_err(|_| Refusal::BadHeader)?,
-        max_connections: (max_connections / instances).max(1),
+        max_connections,
         id,
         method: head.method,
         headers: out,
--- a/crates/vanillakeel/src/attempt/budget.rs
+++ b/crates/vanillakeel/src/attempt/budget.rs
@@ -1,6 +1,9 @@
 //! Retry budgets: a token bucket that attempts fill and retries drain, and a sliding window.
 
-use crate::Millis;
+use crate::{
+    Millis,
+    division, //
+};
 use std::collections::VecDeque;
 
 /// Settings of a [`Budget`].
@@ -133,7 +136,7 @@
     pub fn take(&mut self, now: Millis, instances: Option<u32>) -> bool {
         self.slide(now);
         let instances = instances.filter(|_| now > self.slack_from);
-        let slack_share = instances.map_or(0.0, |n| self.settings.slack / f64::from(n.max(1)));
+        let slack_share = division::equal_part(self.settings.slack, instances);
         let allowed = self.requests.len() as f64 * self.settings.ratio + slack_share;
         let has_one = (self.retries.len() + 1) as f64 <= allowed;
         if has_one {
