feat: rate limits of upstreams in the choice among them

An upstream without room under the rate that it names is not chosen.

Once a request has found no room, less urgent ones leave it to those of its rank for a second.

--- a/crates/vanillakeel/src/fleet.rs
+++ b/crates/vanillakeel/src/fleet.rs
@@ -7,6 +7,7 @@
 //! [`Fleet::choose`] picks the one with the lowest cost among those that it [visits](choose). The
 //! cost adds up the expected wait there, the prefill or transfer of shared prompt tokens that it does
 //! not have cached, and a surcharge for another data centre.
+//! An upstream that names a [rate limit](crate::rate_limits) is chosen only while it has room.
 //! [`Fleet::admit`] sheds load before a send. [`Fleet::on_send`], [`Fleet::on_first_event`] and
 //! [`Fleet::on_end`] report the progress of a call. [`MissingUpstreams`] decides when an upstream whose
 //! entry has disappeared from the list is removed, and [`RemovedUpstreams`] whether an entry is out of
@@ -27,6 +28,7 @@
 mod cached;
 pub mod choose;
 pub mod groups;
+mod limited;
 mod missing;
 mod notices;
 mod removed;
@@ -38,6 +40,11 @@
 pub(crate) use self::upstream::RANK_COUNT;
 pub use self::{
     admit::Overload,
+    limited::{
+        NoRoom,
+        RateChange,
+        RateTotals, //
+    },
     missing::MissingUpstreams,
     notices::CacheNotice,
     removed::RemovedUpstreams,
--- a/crates/vanillakeel/src/fleet/groups.rs
+++ b/crates/vanillakeel/src/fleet/groups.rs
@@ -34,7 +34,9 @@
         let group = self.usable_group(now, request);
         if group.is_empty() && request.software.is_some() {
             let of_service = self.of_service(request.service);
-            return of_service.filter(|u| u.may_run(request)).collect();
+            let may_take =
+                |u: &&Upstream| u.may_run(request) && self.has_rate_room(now, request, u);
+            return of_service.filter(may_take).collect();
         }
         group
     }
@@ -42,11 +44,13 @@
     /// Returns the upstreams of all groups that may take this request.
     pub(super) fn usable(&self, now: Millis, request: &RequestInfo<'_>) -> Vec<&Upstream> {
         let of_service = self.of_service(request.service);
-        of_service.filter(|u| u.is_usable(now, request)).collect()
+        of_service
+            .filter(|u| self.may_take(now, request, u))
+            .collect()
     }
 
     fn usable_group(&self, now: Millis, request: &RequestInfo<'_>) -> Vec<&Upstream> {
-        let usable = |u: &&Upstream| u.is_usable(now, request);
+        let usable = |u: &&Upstream| self.may_take(now, request, u);
         let all: Vec<_> = self
             .of_service(request.service)
             .filter(|u| u.is_live())
--- /dev/null
+++ b/crates/vanillakeel/src/fleet/limited.rs
@@ -0,0 +1,250 @@
+//! Upstreams that name [rate limits](crate::rate_limits): who may use what they take.
+//!
+//! An upstream without room for this instance is not chosen. Once a request has found no room at the upstreams
+//! of its service, less urgent ones leave them to those of its rank for a while, so that the more urgent get
+//! what there is.
+
+use super::{
+    request::{
+        Pick,
+        RequestInfo, //
+    },
+    state::Fleet,
+    upstream::{
+        RANK_COUNT,
+        Upstream, //
+    },
+};
+use crate::{
+    Millis,
+    division::{
+        RatePart,
+        Roster, //
+    },
+    rate_limits::{
+        Rate,
+        ToldRate, //
+    },
+};
+use std::sync::Arc;
+
+/// Time for which less urgent requests leave limited upstreams to those that have found no room there, in ms.
+const STAND_BACK_MS: u64 = 1_000;
+
+/// Most rate limits that are told at a time; those seen last come first.
+const MAX_TOLD: usize = 64;
+
+/// The upstreams that could take the request have no room: {upstreams} of them take {per_second} requests a second from all instances and {own_per_second} from this one, room is expected in {wait_ms} ms
+#[derive(Clone, Copy, Debug, PartialEq, displaydoc::Display)]
+pub struct NoRoom {
+    /// Upstreams that could take the request but for their rate limits.
+    pub upstreams: u32,
+    /// Requests a second that they take from all instances.
+    pub per_second: f64,
+    /// Requests a second that they take from this instance.
+    pub own_per_second: f64,
+    /// Time until there is room at one of them: here, or at some instance if this one has no part.
+    pub wait_ms: u64,
+    /// Time after which the caller may retry, in ms.
+    pub retry_after_ms: u64,
+}
+
+/// A change of an upstream's rate limit.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RateChange {
+    /// Name of the upstream.
+    pub upstream: Arc<str>,
+    /// Its service.
+    pub service: Arc<str>,
+    /// Rate that it names now.
+    pub rate: Option<Rate>,
+    /// Rate that it named before.
+    pub previous: Option<Rate>,
+    /// Part of the rate that this instance may use.
+    pub part: RatePart,
+}
+
+/// All rate limits together.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RateTotals {
+    /// Upstreams that name a rate.
+    pub upstreams: u32,
+    /// Requests a second that they take from all instances.
+    pub per_second: f64,
+    /// Requests a second that they take from this instance.
+    pub own_per_second: f64,
+}
+
+/// Times at which requests of a service found no room last, by rank.
+#[derive(Clone, Debug)]
+pub(super) struct RoomSought {
+    service: Arc<str>,
+    by_rank: [Option<Millis>; RANK_COUNT],
+}
+
+impl Fleet {
+    /// Returns whether an upstream may run a request now: it is usable, and has room under its rate limit.
+    pub(super) fn may_take(&self, now: Millis, request: &RequestInfo<'_>, u: &Upstream) -> bool {
+        u.is_usable(now, request) && self.has_rate_room(now, request, u)
+    }
+
+    /// Returns whether an upstream has room for a request under its rate limit, if it names one.
+    pub(super) fn has_rate_room(
+        &self,
+        now: Millis,
+        request: &RequestInfo<'_>,
+        u: &Upstream,
+    ) -> bool {
+        let limit = &u.rate_limit;
+        limit.rate().is_none() || (limit.has_room(now) && self.stand_back_ms(now, request) == 0)
+    }
+
+    /// Returns for how long a request leaves limited upstreams to more urgent ones, in ms.
+    fn stand_back_ms(&self, now: Millis, request: &RequestInfo<'_>) -> u64 {
+        let of_service = self
+            .room_sought()
+            .iter()
+            .find(|s| *s.service == *request.service);
+        let sought = of_service.map_or(&[][..], |s| &s.by_rank[..request.rank_index()]);
+        let last = sought.iter().flatten().max();
+        last.map_or(0, |at| STAND_BACK_MS.saturating_sub(now.since(*at)))
+    }
+
+    /// Returns why no upstream may take a request, if that is because of their rate limits, and keeps their room
+    /// for requests of its rank.
+    pub fn no_room(&mut self, now: Millis, request: &RequestInfo<'_>) -> Option<NoRoom> {
+        let stand_back_ms = self.stand_back_ms(now, request);
+        let min_retry_after_ms = self.settings().min_retry_after_ms;
+        let mut found = NoRoom {
+            upstreams: 0,
+            per_second: 0.0,
+            own_per_second: 0.0,
+            wait_ms: u64::MAX,
+            retry_after_ms: 0,
+        };
+        let mut service = None;
+        for u in self.of_service(request.service) {
+            let Some(rate) = u.rate_limit.rate() else {
+                continue;
+            };
+            if !u.is_usable(now, request) || self.has_rate_room(now, request, u) {
+                continue;
+            }
+            found.upstreams += 1;
+            found.per_second += rate.per_second();
+            found.own_per_second += u.rate_limit.part().per_second;
+            let wait_ms = u.rate_limit.wait_ms(now).unwrap_or(u64::MAX);
+            found.wait_ms = found.wait_ms.min(wait_ms.max(stand_back_ms));
+            service = Some(Arc::clone(&u.listed.service));
+        }
+        self.record_sought(now, service?, request.rank_index());
+        if found.wait_ms == u64::MAX {
+            found.wait_ms = (1_000.0 / found.per_second) as u64;
+        }
+        found.retry_after_ms = found.wait_ms.max(min_retry_after_ms);
+        Some(found)
+    }
+
+    fn record_sought(&mut self, now: Millis, service: Arc<str>, rank: usize) {
+        let sought = self.room_sought_mut();
+        let at = match sought.binary_search_by(|s| s.service.cmp(&service)) {
+            Ok(at) => at,
+            Err(at) => {
+                let by_rank = [None; RANK_COUNT];
+                sought.insert(at, RoomSought { service, by_rank });
+                at
+            }
+        };
+        sought[at].by_rank[rank] = Some(now);
+    }
+
+    /// Records the rate that the head of an answer names, if it names one; returns what has changed.
+    ///
+    /// `sent` is the time at which the request was sent.
+    pub fn on_rate_answer(
+        &mut self,
+        now: Millis,
+        pick: &Pick,
+        sent: Millis,
+        rate: Option<Rate>,
+        roster: &Roster,
+    ) -> Option<RateChange> {
+        let upstream = self.find_incarnation(&pick.name, pick.incarnation)?;
+        let previous = upstream.rate_limit.rate();
+        let has_changed = upstream.rate_limit.on_answer(now, sent, rate);
+        has_changed.then(|| upstream.rate_change(now, previous, roster))
+    }
+
+    /// Records an answer that names a rate that can't be read; returns whether it is the first one in a row of
+    /// its upstream.
+    pub fn on_unreadable_rate(&mut self, pick: &Pick) -> bool {
+        self.find_incarnation(&pick.name, pick.incarnation)
+            .is_some_and(|u| u.rate_limit.on_unreadable())
+    }
+
+    /// Applies what another instance tells of the rate of an upstream; returns what has changed.
+    pub fn on_told_rate(
+        &mut self,
+        now: Millis,
+        told: &ToldRate,
+        roster: &Roster,
+    ) -> Option<RateChange> {
+        let upstream = self
+            .iter_mut()
+            .find(|u| u.rate_limit.id() == told.upstream)?;
+        let previous = upstream.rate_limit.rate();
+        let has_changed = upstream.rate_limit.on_told(now, told);
+        has_changed.then(|| upstream.rate_change(now, previous, roster))
+    }
+
+    /// Returns what other instances should know of the rates of upstreams.
+    #[must_use]
+    pub fn told_rates(&self, now: Millis) -> Vec<ToldRate> {
+        let upstreams = self.upstreams();
+        let mut told: Vec<_> = upstreams.filter_map(|u| u.rate_limit.told(now)).collect();
+        told.sort_by_key(|t| t.seen_age_ms);
+        told.truncate(MAX_TOLD);
+        told
+    }
+
+    /// Works out anew which part of each rate this instance may use; returns the totals.
+    pub fn divide_rates(&mut self, now: Millis, roster: &Roster) -> RateTotals {
+        let mut totals = RateTotals::default();
+        for upstream in self.iter_mut() {
+            upstream.divide_rate(now, roster);
+            if let Some(rate) = upstream.rate_limit.rate() {
+                totals.upstreams += 1;
+                totals.per_second += rate.per_second();
+                totals.own_per_second += upstream.rate_limit.part().per_second;
+            }
+        }
+        totals
+    }
+
+    /// Returns the rate that an upstream names, and the part of this instance.
+    #[must_use]
+    pub fn rate_of(&self, name: &str) -> Option<(Rate, RatePart)> {
+        let limit = &self.named(name)?.rate_limit;
+        limit.rate().map(|rate| (rate, limit.part()))
+    }
+}
+
+impl Upstream {
+    fn divide_rate(&mut self, now: Millis, roster: &Roster) {
+        let limit = &mut self.rate_limit;
+        let rate = limit.rate();
+        let part = rate.map(|rate| roster.rate_part(now, limit.id(), rate));
+        limit.set_part(now, part.unwrap_or_default());
+    }
+
+    fn rate_change(&mut self, now: Millis, previous: Option<Rate>, roster: &Roster) -> RateChange {
+        self.divide_rate(now, roster);
+        RateChange {
+            upstream: Arc::clone(&self.listed.name),
+            service: Arc::clone(&self.listed.service),
+            rate: self.rate_limit.rate(),
+            previous,
+            part: self.rate_limit.part(),
+        }
+    }
+}
--- a/crates/vanillakeel/src/fleet/state.rs
+++ b/crates/vanillakeel/src/fleet/state.rs
@@ -1,6 +1,7 @@
 //! The known upstreams and the load on them.
 
 use super::{
+    limited::RoomSought,
     notices::{
         CacheNotice,
         RecentNotices, //
@@ -152,6 +153,8 @@
     prefill_ms_per_token: f64,
     targets: RecentTargets,
     cache_notices: RecentNotices,
+    /// Recent requests that found no room under rate limits, sorted by service.
+    room_sought: Vec<RoomSought>,
 }
 
 impl Fleet {
@@ -168,6 +171,7 @@
             extrapolation_factor: 1.0,
             targets: RecentTargets::EMPTY,
             cache_notices: RecentNotices::new(),
+            room_sought: Vec::new(),
         }
     }
 
@@ -183,6 +187,22 @@
         &mut self.targets
     }
 
+    pub(super) fn room_sought(&self) -> &[RoomSought] {
+        &self.room_sought
+    }
+
+    pub(super) const fn room_sought_mut(&mut self) -> &mut Vec<RoomSought> {
+        &mut self.room_sought
+    }
+
+    pub(super) fn upstreams(&self) -> impl Iterator<Item = &Upstream> {
+        self.upstreams.iter()
+    }
+
+    pub(super) fn iter_mut(&mut self) -> impl Iterator<Item = &mut Upstream> {
+        self.upstreams.iter_mut()
+    }
+
     pub(super) fn of_service(&self, service: &str) -> impl Iterator<Item = &Upstream> {
         self.upstreams
             .iter()
@@ -200,11 +220,19 @@
             .binary_search_by(|u| (*u.listed.name).cmp(name))
     }
 
+    pub(super) fn named(&self, name: &str) -> Option<&Upstream> {
+        self.find(name).ok().map(|at| &self.upstreams[at])
+    }
+
     fn find_hash(&mut self, hash: u32) -> Option<&mut Upstream> {
         self.upstreams.iter_mut().find(|u| u.hash == hash)
     }
 
-    fn find_incarnation(&mut self, name: &str, incarnation: u64) -> Option<&mut Upstream> {
+    pub(super) fn find_incarnation(
+        &mut self,
+        name: &str,
+        incarnation: u64,
+    ) -> Option<&mut Upstream> {
         let at = self.find(name).ok()?;
         let upstream = &mut self.upstreams[at];
         (upstream.listed.incarnation == incarnation).then_some(upstream)
@@ -350,6 +378,7 @@
             upstream.load.calls[rank] += 1;
             upstream.load.prefill_tokens[rank] += u64::from(pick.prefill_tokens);
             upstream.health.on_send();
+            upstream.rate_limit.on_send(now);
             for segment in request.shared() {
                 upstream.cached.on_use(now, segment.id);
             }
--- a/crates/vanillakeel/src/fleet/upstream.rs
+++ b/crates/vanillakeel/src/fleet/upstream.rs
@@ -8,6 +8,7 @@
     Millis,
     membership::State,
     order,
+    rate_limits::RateLimit,
     routing::Health, //
 };
 use std::{
@@ -110,9 +111,17 @@
     pub(super) mean_prefill_tokens: f64,
     pub(super) cached: CachedSegments,
     pub(super) health: Health,
+    pub(super) rate_limit: RateLimit,
     pub(super) consecutive_failures: u32,
 }
 
+/// Returns the number by which instances tell each other of one process of an upstream.
+fn process_id(listed: &ListedUpstream) -> u32 {
+    let mut bytes = listed.name.as_bytes().to_vec();
+    bytes.extend(listed.incarnation.to_le_bytes());
+    order::hash_bytes(&bytes) as u32
+}
+
 impl Upstream {
     pub(super) fn new(listed: &ListedUpstream) -> Self {
         Self {
@@ -124,6 +133,7 @@
             mean_prefill_tokens: 0.0,
             cached: CachedSegments::default(),
             health: Health::default(),
+            rate_limit: RateLimit::new(process_id(listed)),
             consecutive_failures: 0,
         }
     }
@@ -159,7 +169,7 @@
         self.listed.state == State::Live
     }
 
-    /// Returns whether the upstream may run a request now.
+    /// Returns whether the upstream may run a request now, apart from its rate limit.
     pub(super) fn is_usable(&self, now: Millis, request: &RequestInfo<'_>) -> bool {
         let has_room = self.load.total_calls() < self.health.max_in_flight(now);
         has_room && self.may_run(request)
--- a/crates/vanillakeel/src/lib.rs
+++ b/crates/vanillakeel/src/lib.rs
@@ -14,7 +14,7 @@
 //! - [`fleet`] tracks the upstreams that discovery lists and chooses one for each request.
 //! - [`streams`] knows which software version began a stream that a caller takes up again.
 //! - [`quarantine`] finds the prompt segments that crash upstreams.
-//! - [`rate_limits`] holds the rates that upstreams name.
+//! - [`rate_limits`] holds the rates that upstreams name, and [`division`] divides limits over instances.
 //! - [`mesh`] exchanges load, and what was read from the log, between instances.
 //!
 //! The `vanillakeel-entry` daemon serves requests by class and priority:
@@ -47,6 +47,7 @@
 mod clock;
 pub mod config;
 pub mod config_log;
+pub mod division;
 pub mod fleet;
 pub mod lease;
 pub mod membership;
