fix: the rate that an upstream names holds for all instances together

Callers saw nothing; the upstream that named 1.9 requests a second got 37 in four seconds. Cause: nothing read the limit.

Each head is read, also that of an error or a refusal; reports, summaries and totals of the mesh carry what was seen, and the list of instances once a second. Requests go elsewhere at once; if no upstream has room, they wait as for any upstream, and are refused with the time until there is room. A stream that broke off waits up to a second for room at its version.

--- a/crates/vanillakeel-entry/src/gateway/answer.rs
+++ b/crates/vanillakeel-entry/src/gateway/answer.rs
@@ -89,6 +89,8 @@
     Full,
     /// prompts are queued for too long, come back in {0} ms
     Overload(u64),
+    /// upstreams take no more requests by the rates that they name, come back in {0} ms
+    RateLimited(u64),
     /// the time was over before the request was sent
     TooLate,
     /// the instance is stopping
@@ -120,6 +122,7 @@
             Self::NoUpstream => "no_upstream",
             Self::Full => "full",
             Self::Overload(_) => "overload",
+            Self::RateLimited(_) => "rate_limited",
             Self::TooLate => "too_late",
             Self::Stopping => "stopping",
             Self::UnknownStream(_) => "unknown_stream",
@@ -143,6 +146,7 @@
             | Self::NoUpstream
             | Self::Full
             | Self::Overload(_)
+            | Self::RateLimited(_)
             | Self::TooLate
             | Self::Stopping
             | Self::UnknownStream(_)
@@ -166,7 +170,10 @@
         match self {
             Self::NoConfiguration | Self::NoUpstream => Some(300),
             Self::Full => Some(100),
-            Self::Overload(ms) | Self::Stale(ms) | Self::Quarantined(ms) => Some(ms),
+            Self::Overload(ms)
+            | Self::Stale(ms)
+            | Self::Quarantined(ms)
+            | Self::RateLimited(ms) => Some(ms),
             Self::Stopping => Some(0),
             Self::UnknownStream(ms) => ms,
             _ => None,
--- a/crates/vanillakeel-entry/src/gateway/call.rs
+++ b/crates/vanillakeel-entry/src/gateway/call.rs
@@ -29,6 +29,8 @@
     pub(super) pick: Pick,
     in_flight: Option<InFlightCall>,
     first_event: Option<Millis>,
+    /// Time at which the request was sent.
+    pub(super) sent: Millis,
     pub(super) connection: Option<HttpConnection>,
     /// How long the connection may stay idle after the response and still be reused, in ms; `None`
     /// if it can't be reused.
@@ -51,6 +53,7 @@
             pick,
             in_flight: Some(in_flight),
             first_event: None,
+            sent: shared.clock.now(),
             connection: None,
             max_idle_ms: None,
             framing: BodyFraming::default(),
--- a/crates/vanillakeel-entry/src/gateway/exchange.rs
+++ b/crates/vanillakeel-entry/src/gateway/exchange.rs
@@ -47,13 +47,22 @@
 };
 use tokio::{
     task::spawn_local,
-    time::timeout, //
+    time::{
+        sleep,
+        timeout, //
+    },
 };
-use vanillakeel::fleet::{
-    CallOutcome,
-    Overload,
-    Pick,
-    RequestInfo, //
+use vanillakeel::{
+    Millis,
+    division::RatePart,
+    fleet::{
+        CallOutcome,
+        NoRoom,
+        Overload,
+        Pick,
+        RequestInfo, //
+    },
+    rate_limits::Rate,
 };
 
 /// Failed connection attempts to upstreams after which a request fails.
@@ -69,6 +78,9 @@
 /// Longest wait of any request for an available upstream, counted from its arrival, in ms.
 const MAX_UPSTREAM_WAIT_MS: u64 = 250;
 
+/// Longest wait for room under a rate limit before a stream that has broken off is resumed, in ms.
+const MAX_RESUME_WAIT_MS: u64 = 1_000;
+
 /// Time to the deadline below which a request is refused instead of sent, in ms.
 const MIN_REMAINING_MS: u64 = 5;
 
@@ -80,6 +92,8 @@
     /// no upstream may be sent to now
     NoUpstream,
     /// {0}
+    NoRoom(NoRoom),
+    /// {0}
     Overload(Overload),
     /// all connections to the upstream are in use
     NoConnection,
@@ -176,6 +190,7 @@
             _ if attempts.possible_runs > 0 => Refusal::Broken,
             SendFailure::NoUpstream | SendFailure::ConnectFailed => Refusal::NoUpstream,
             SendFailure::Overload(overload) => Refusal::Overload(overload.retry_after_ms),
+            SendFailure::NoRoom(no_room) => Refusal::RateLimited(no_room.retry_after_ms),
             _ => Refusal::Full,
         });
     }
@@ -243,11 +258,15 @@
         SendFailure::ClosedWhileIdle => true,
         SendFailure::Overload(_) => false,
         SendFailure::NoConnection => allows_retry,
+        SendFailure::NoRoom(no_room) => {
+            let waits = allows_retry && no_room.wait_ms <= remaining_wait_ms(shared, request);
+            if waits {
+                sleep(Duration::from_millis(no_room.wait_ms)).await;
+            }
+            waits
+        }
         SendFailure::NoUpstream => {
-            let target_ms = request.route.target_ms;
-            let max_wait_ms = (target_ms / UPSTREAM_WAIT_TARGET_DIVISOR).min(MAX_UPSTREAM_WAIT_MS);
-            let elapsed_ms = shared.clock.now().since(request.arrived);
-            let remaining_ms = max_wait_ms.saturating_sub(elapsed_ms);
+            let remaining_ms = remaining_wait_ms(shared, request);
             if !allows_retry || remaining_ms == 0 {
                 return false;
             }
@@ -268,6 +287,14 @@
     }
 }
 
+/// Returns how much longer a request may wait for an upstream, in ms.
+fn remaining_wait_ms(shared: &Shared, request: &RoutedRequest) -> u64 {
+    let target_ms = request.route.target_ms;
+    let max_wait_ms = (target_ms / UPSTREAM_WAIT_TARGET_DIVISOR).min(MAX_UPSTREAM_WAIT_MS);
+    let elapsed_ms = shared.clock.now().since(request.arrived);
+    max_wait_ms.saturating_sub(elapsed_ms)
+}
+
 /// Returns the properties on which the choice of an upstream for the next attempt depends.
 fn request_info<'a>(request: &'a RoutedRequest, attempts: &'a Attempts) -> RequestInfo<'a> {
     RequestInfo {
@@ -283,12 +310,44 @@
 
 /// Returns whether an upstream is left that may continue the stream of a request, and takes the retry
 /// from the budget if so.
-pub(super) fn may_resume(shared: &Shared, request: &RoutedRequest, attempts: &Attempts) -> bool {
+///
+/// If those that are left have no room under their rate limits, this waits until there should be some.
+pub(super) async fn may_resume(
+    shared: &Shared,
+    request: &RoutedRequest,
+    attempts: &Attempts,
+) -> bool {
+    if attempts.possible_runs >= request.route.max_attempts {
+        return false;
+    }
     let info = request_info(request, attempts);
     let now = shared.clock.now();
-    attempts.possible_runs < request.route.max_attempts
-        && shared.fleet.borrow().has_upstream(now, &info)
-        && shared.take_retry(request)
+    let mut has_upstream = shared.fleet.borrow().has_upstream(now, &info);
+    if !has_upstream {
+        let no_room = shared.fleet.borrow_mut().no_room(now, &info);
+        let wait_ms = no_room.map(|n| n.wait_ms);
+        let Some(wait_ms) = wait_ms.filter(|ms| *ms <= MAX_RESUME_WAIT_MS) else {
+            return false;
+        };
+        sleep(Duration::from_millis(wait_ms)).await;
+        let now = shared.clock.now();
+        has_upstream = shared.fleet.borrow().has_upstream(now, &info);
+    }
+    has_upstream && shared.take_retry(request)
+}
+
+/// Chooses an upstream for a request.
+///
+/// # Errors
+///
+/// Returns whether none may be sent to at all, or none has room under its rate limit.
+fn choose(shared: &Shared, now: Millis, info: &RequestInfo<'_>) -> Result<Pick, SendFailure> {
+    let mut fleet = shared.fleet.borrow_mut();
+    let pick = fleet.choose(now, info);
+    pick.ok_or_else(|| match fleet.no_room(now, info) {
+        Some(no_room) => SendFailure::NoRoom(no_room),
+        None => SendFailure::NoUpstream,
+    })
 }
 
 /// Makes one attempt: sends a request to the best upstream and waits for the head of its response.
@@ -307,12 +366,15 @@
 ) -> Result<(Call, Response<Incoming>), SendFailure> {
     let now = shared.clock.now();
     let info = request_info(request, attempts);
-    let pick = shared.fleet.borrow_mut().choose(now, &info);
-    let mut pick = pick.ok_or(SendFailure::NoUpstream)?;
+    let mut pick = choose(shared, now, &info)?;
     // Admission control applies only until an upstream has received the request.
     if attempts.possible_runs == 0 && attempts.refusals == 0 {
-        let admitted = shared.fleet.borrow_mut().admit(now, &info, pick);
-        pick = admitted.map_err(SendFailure::Overload)?;
+        let mut fleet = shared.fleet.borrow_mut();
+        pick = fleet.admit(now, &info, pick).map_err(|overload| {
+            // Less urgent requests leave it the room that limited upstreams will have.
+            let _ = fleet.no_room(now, &info);
+            SendFailure::Overload(overload)
+        })?;
     }
     let in_flight = shared.fleet.borrow_mut().on_send(now, &pick, &info);
     let mut call = Call::new(shared, &request.id, pick, in_flight);
@@ -328,7 +390,12 @@
     attempts.tried.push(Arc::clone(&call.pick.name));
     attempts.possible_runs += 1;
     attempts.sent_to = Some(call.pick.clone());
-    log_sent(shared, request, attempts, &call.pick);
+    call.sent = now;
+    let limit = shared.fleet.borrow().rate_of(&call.pick.name);
+    if limit.is_some() {
+        shared.metrics.limited_sends.inc();
+    }
+    log_sent(shared, request, attempts, &call.pick, limit);
     let sent = match &mut call.connection {
         Some(connection) => connection.send(req).await,
         None => Err(SendError::NotSent),
@@ -348,7 +415,14 @@
     }
 }
 
-fn log_sent(shared: &Shared, request: &RoutedRequest, attempts: &Attempts, pick: &Pick) {
+/// Logs that a request is sent; `limit` is the rate that its upstream names, and the part of this instance.
+fn log_sent(
+    shared: &Shared,
+    request: &RoutedRequest,
+    attempts: &Attempts,
+    pick: &Pick,
+    limit: Option<(Rate, RatePart)>,
+) {
     if !shared.may_log(Kind::Usual) {
         return;
     }
@@ -374,6 +448,8 @@
         fetch_from = pick.cache_source.as_ref().map(|s| &*s.name),
         ahead = pick.tokens_ahead,
         wait_ms = pick.wait_ms,
+        rate = limit.map(|(rate, _)| Rate::per_second(rate)),
+        part = limit.map(|(_, part)| part.per_second),
         left_ms = request.remaining_ms(now),
         after_ms = now.since(request.arrived),
         "sent"
@@ -497,7 +573,7 @@
     call.framing = BodyFraming::of(headers);
     let is_misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
     if !is_misdirected {
-        rate_limits::record_head(shared, request, &call.pick, headers);
+        rate_limits::record_head(shared, request, &call, headers);
     }
     if is_misdirected || headers.contains_key(&names.not_run) {
         attempts.possible_runs -= 1;
--- a/crates/vanillakeel-entry/src/gateway/metrics.rs
+++ b/crates/vanillakeel-entry/src/gateway/metrics.rs
@@ -20,6 +20,7 @@
     },
     registry::Registry,
 };
+use std::sync::atomic::AtomicU64;
 
 /// Upper bounds of the buckets of all histograms, in seconds.
 const BUCKET_BOUNDS_S: [f64; 9] = [0.01, 0.03, 0.1, 0.3, 0.6, 1.0, 2.0, 5.0, 15.0];
@@ -73,6 +74,8 @@
     pub(super) source_errors: Counter,
     pub(super) late_confirmations: Counter,
     pub(super) bad_datagrams: Counter,
+    pub(super) bad_rate_limits: Counter,
+    pub(super) limited_sends: Counter,
     pub(super) version: Gauge,
     pub(super) log_era: Gauge,
     pub(super) confirmation_age_ms: Gauge,
@@ -80,6 +83,11 @@
     pub(super) peers: Gauge,
     pub(super) quarantined_segments: Gauge,
     pub(super) sharing_instances: Gauge,
+    pub(super) limited_upstreams: Gauge,
+    /// Requests a second that all limited upstreams take together.
+    pub(super) named_rate: Gauge<f64, AtomicU64>,
+    /// The part of it that this instance may use.
+    pub(super) own_rate: Gauge<f64, AtomicU64>,
     pub(super) covered: Gauge,
     pub(super) known_streams: Gauge,
 }
@@ -101,6 +109,8 @@
             source_errors: Counter::default(),
             late_confirmations: Counter::default(),
             bad_datagrams: Counter::default(),
+            bad_rate_limits: Counter::default(),
+            limited_sends: Counter::default(),
             version: Gauge::default(),
             log_era: Gauge::default(),
             confirmation_age_ms: Gauge::default(),
@@ -108,6 +118,9 @@
             peers: Gauge::default(),
             quarantined_segments: Gauge::default(),
             sharing_instances: Gauge::default(),
+            limited_upstreams: Gauge::default(),
+            named_rate: Gauge::default(),
+            own_rate: Gauge::default(),
             covered: Gauge::default(),
             known_streams: Gauge::default(),
         };
@@ -208,6 +221,31 @@
             "Instances that share limits, including this one; 0 while their number is unknown",
             self.sharing_instances.clone(),
         );
+        registry.register(
+            "bad_rate_limits",
+            "Rate limits of answers or peers that can't be read",
+            self.bad_rate_limits.clone(),
+        );
+        registry.register(
+            "rate_limited_sends",
+            "Requests sent to upstreams that name a rate limit",
+            self.limited_sends.clone(),
+        );
+        registry.register(
+            "rate_limited_upstreams",
+            "Upstreams that name a rate limit",
+            self.limited_upstreams.clone(),
+        );
+        registry.register(
+            "rate_limit_requests_per_second",
+            "Requests a second that these upstreams take from all instances",
+            self.named_rate.clone(),
+        );
+        registry.register(
+            "rate_limit_part_requests_per_second",
+            "Requests a second that these upstreams take from this instance",
+            self.own_rate.clone(),
+        );
         registry.register(
             "covered",
             "Whether a hub reads the log for this instance",
--- a/crates/vanillakeel-entry/src/gateway/peers.rs
+++ b/crates/vanillakeel-entry/src/gateway/peers.rs
@@ -21,6 +21,7 @@
         loads_from_wire,
         loads_to_wire, //
     },
+    rate_limits,
     shared::Shared,
     streams, //
 };
@@ -38,6 +39,10 @@
 };
 use vanillakeel::{
     Millis,
+    division::{
+        self,
+        Scope, //
+    },
     mesh::{
         Loads,
         Peer,
@@ -103,6 +108,7 @@
                 let peers = page.entries.iter().filter_map(parse_peer);
                 for peer in peers {
                     shared.mesh.borrow_mut().on_peer(&peer);
+                    hear(shared, &peer.name);
                     // The message has no kind: a report would make each peer act as a hub.
                     send_message(shared, socket, &peer, None).await;
                 }
@@ -118,6 +124,7 @@
         }
     }
     shared.mesh.borrow_mut().on_list_read();
+    shared.roster.borrow_mut().on_list_read(shared.clock.now());
     tracing::info!(peers = shared.mesh.borrow().len(), "peers known");
     // The address may have been written after the copy from which the log came back.
     while shared.stopping_since.get().is_none() {
@@ -183,6 +190,7 @@
         }
         let now = shared.clock.now();
         update_metrics(shared, now);
+        rate_limits::divide(shared, now);
         let hub = shared.mesh.borrow().hub(now).cloned();
         if let Some(hub) = hub {
             shared.mesh.borrow_mut().on_sent(now, &hub.name);
@@ -229,6 +237,8 @@
             reads: Some(cache_notices_to_wire(shared, now)),
             version: shared.in_force.borrow().version(),
             crashes: crashes_to_wire(&shared.quarantine.borrow().evidence(now)),
+            rates: rate_limits::to_wire(shared, now),
+            roster: rate_limits::roster_for(shared, now, &peer.name, Scope::OwnDataCentre),
         };
         send_message(shared, socket, &peer, Kind::Exchange(message)).await;
     }
@@ -247,6 +257,7 @@
         confirmed: shared.in_force.borrow().standing(now) == Standing::Confirmed,
         version: shared.in_force.borrow().version(),
         crashes: crashes_to_wire(&shared.quarantine.borrow().evidence(now)),
+        rates: rate_limits::to_wire(shared, now),
     })
 }
 
@@ -323,16 +334,20 @@
         return;
     }
     shared.mesh.borrow_mut().on_peer(&peer);
+    hear(shared, name);
     match message.kind {
         Some(Kind::Report(report)) => {
             shared.on_announced(report.version, name);
             record_evidence(shared, now, report.crashes.as_ref());
+            rate_limits::apply_told(shared, now, name, &report.rates);
             record_cache_notices(shared, now, report.reads.as_ref());
             let loads = loads_from_wire(report.loads.as_ref());
             let is_same_data_centre = {
                 let mut mesh = shared.mesh.borrow_mut();
                 let is_same_data_centre = mesh.me().data_centre == peer.data_centre;
                 if is_same_data_centre {
+                    let id = division::instance_id(name);
+                    shared.roster.borrow_mut().on_report(now, id);
                     mesh.on_report(now, name, loads, report.confirmed);
                 }
                 is_same_data_centre
@@ -345,6 +360,8 @@
         Some(Kind::Exchange(exchange)) => {
             shared.on_announced(exchange.version, name);
             record_evidence(shared, now, exchange.crashes.as_ref());
+            rate_limits::apply_told(shared, now, name, &exchange.rates);
+            shared.roster.borrow_mut().on_heard(now, &exchange.roster);
             record_cache_notices(shared, now, exchange.reads.as_ref());
             let loads = loads_from_wire(exchange.loads.as_ref());
             let mut mesh = shared.mesh.borrow_mut();
@@ -361,6 +378,13 @@
     }
 }
 
+/// Records that a peer is alive.
+fn hear(shared: &Shared, peer: &str) {
+    let now = shared.clock.now();
+    let id = division::instance_id(peer);
+    shared.roster.borrow_mut().on_heard(now, &[id]);
+}
+
 /// Creates the answer to the report of a member.
 ///
 /// It holds the load of all other instances, the recent changes of upstreams and the age of the log
@@ -393,6 +417,8 @@
         reads: Some(cache_notices_to_wire(shared, now)),
         log_era: shared.log_era(),
         crashes: crashes_to_wire(&shared.quarantine.borrow().evidence(now)),
+        rates: rate_limits::to_wire(shared, now),
+        roster: rate_limits::roster_for(shared, now, member, Scope::All),
     }
 }
 
@@ -411,6 +437,8 @@
     shared.mesh.borrow_mut().on_summary(now, hub, received);
     record_cache_notices(shared, now, summary.reads.as_ref());
     record_evidence(shared, now, summary.crashes.as_ref());
+    rate_limits::apply_told(shared, now, hub, &summary.rates);
+    shared.roster.borrow_mut().on_heard(now, &summary.roster);
     let loads = loads_from_wire(summary.loads.as_ref());
     shared.fleet.borrow_mut().set_remote(&loads);
     shared.on_announced(summary.version, hub);
--- a/crates/vanillakeel-entry/src/gateway/relay.rs
+++ b/crates/vanillakeel-entry/src/gateway/relay.rs
@@ -418,7 +418,7 @@
         self.state = RelayState::Resuming(Box::pin(async move {
             let has_crashed = recorded.await.unwrap_or(false);
             let may_repeat = !has_crashed || is_settled || crashes::may_repeat(&shared, &request);
-            if !may_repeat || !exchange::may_resume(&shared, &request, &attempts) {
+            if !may_repeat || !exchange::may_resume(&shared, &request, &attempts).await {
                 return (attempts, Err(SendFailure::NoUpstream));
             }
             let result = exchange::send(&shared, &request, &mut attempts, &resume_point).await;
--- a/crates/vanillakeel-entry/src/gateway/shared.rs
+++ b/crates/vanillakeel-entry/src/gateway/shared.rs
@@ -45,6 +45,10 @@
         WindowBudget,
         WindowSettings, //
     },
+    division::{
+        self,
+        Roster, //
+    },
     fleet::{
         self,
         Fleet,
@@ -128,6 +132,8 @@
     pub(super) metrics: Metrics,
     line_limiter: LineLimiter,
     pub(super) mesh: RefCell<Mesh>,
+    /// Instances among which rates of upstreams are divided.
+    pub(super) roster: RefCell<Roster>,
     pub(super) report_ids: ReportIds,
     /// Socket for peers, if there is one.
     pub(super) mesh_socket: RefCell<Option<Rc<UdpSocket>>>,
@@ -190,6 +196,10 @@
         };
         let seed = order::hash(&settings.instance.name);
         let quarantine = settings.quarantine.to_library();
+        let roster = match settings.listen.peers {
+            Some(_) => Roster::new(&me.name, division::Settings::default()),
+            None => Roster::fixed(settings.retries.instances),
+        };
         Rc::new(Self {
             clock: Clock::start(),
             header_names,
@@ -201,6 +211,7 @@
             metrics: Metrics::default(),
             line_limiter: LineLimiter::default(),
             mesh: RefCell::new(Mesh::new(me, mesh::Settings::default())),
+            roster: RefCell::new(roster),
             report_ids: ReportIds::new(wall_ms()),
             mesh_socket: RefCell::default(),
             begun_streams: RefCell::new(BegunStreams::new(streams::Settings::default())),
--- a/crates/vanillakeel-wire/src/generated.rs
+++ b/crates/vanillakeel-wire/src/generated.rs
@@ -271,6 +271,23 @@
     /// Missing if there is nothing to tell.
     #[prost(message, optional, tag = "6")]
     pub crashes: ::core::option::Option<MeshCrashes>,
+    #[prost(message, repeated, tag = "7")]
+    pub rates: ::prost::alloc::vec::Vec<MeshRate>,
+}
+/// What the head of an answer said of the rate that an upstream takes. Times are ages, in ms.
+#[derive(Clone, Copy, PartialEq, ::prost::Message)]
+pub struct MeshRate {
+    /// Identifies the process of the upstream.
+    #[prost(fixed32, tag = "1")]
+    pub upstream: u32,
+    /// Requests a second from all instances; missing if it named none any more.
+    #[prost(double, optional, tag = "2")]
+    pub rate: ::core::option::Option<f64>,
+    /// Time since the request of the answer was sent, and since its head was seen.
+    #[prost(uint32, tag = "3")]
+    pub sent_age: u32,
+    #[prost(uint32, tag = "4")]
+    pub seen_age: u32,
 }
 /// Crashes of upstreams, and the prompt segments that may have caused them. Times are ages, in ms.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -347,6 +364,11 @@
     pub log_era: u64,
     #[prost(message, optional, tag = "11")]
     pub crashes: ::core::option::Option<MeshCrashes>,
+    #[prost(message, repeated, tag = "12")]
+    pub rates: ::prost::alloc::vec::Vec<MeshRate>,
+    /// Hashes of the names of all instances that have been heard lately; empty if they were told lately.
+    #[prost(fixed32, repeated, tag = "13")]
+    pub roster: ::prost::alloc::vec::Vec<u32>,
 }
 /// The totals that a hub sends to the hubs of other data centres.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -363,6 +385,11 @@
     pub version: u64,
     #[prost(message, optional, tag = "5")]
     pub crashes: ::core::option::Option<MeshCrashes>,
+    #[prost(message, repeated, tag = "6")]
+    pub rates: ::prost::alloc::vec::Vec<MeshRate>,
+    /// Hashes of the names of the instances of the data centre; empty if they were told lately.
+    #[prost(fixed32, repeated, tag = "7")]
+    pub roster: ::prost::alloc::vec::Vec<u32>,
 }
 /// Streams that have begun, for the instances that keep them; lists of equal length.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
