test: schedules of the rates that upstreams name

Instances that are killed, join, leave and are cut off send to four upstreams that begin to name a rate, change it and end it; heads are up to 1.5 s on their way. With the division, the memory of silent instances or the order of answers switched off, faults are found.

A pause no longer counts as silence of the others.

--- a/crates/vanillakeel-bench/src/faults/claims.rs
+++ b/crates/vanillakeel-bench/src/faults/claims.rs
@@ -69,6 +69,12 @@
     pub starts_without_slack: bool,
     /// Instances tell each other of crashes.
     pub shares_crashes: bool,
+    /// The rate of an upstream is divided over instances.
+    pub divides_rates: bool,
+    /// Instances that are not heard keep their parts of rates for a while.
+    pub counts_silent: bool,
+    /// An answer counts as later than another one only if its request was sent after that one had arrived.
+    pub orders_answers: bool,
 }
 
 impl Default for Guards {
@@ -84,6 +90,9 @@
             counts_unheard: true,
             starts_without_slack: true,
             shares_crashes: true,
+            divides_rates: true,
+            counts_silent: true,
+            orders_answers: true,
         }
     }
 }
--- a/crates/vanillakeel-bench/src/faults/command.rs
+++ b/crates/vanillakeel-bench/src/faults/command.rs
@@ -7,6 +7,7 @@
     configs,
     crashing,
     leases,
+    rates,
     restored_list,
     restored_log,
     streams, //
@@ -29,7 +30,7 @@
 
 /// Faults found over all schedules.
 ///
-/// The counts `crashes`, `sound_sends`, `retries`, `runs`, `versions`, `orders`, `holders`, `streams`, `continued_streams`,
+/// The counts `limited_sends`, `named_requests`, `crashes`, `sound_sends`, `retries`, `runs`, `versions`, `orders`, `holders`, `streams`, `continued_streams`,
 /// `unknown_streams` and `restored` are not faults; they show that the schedules did exercise the library.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct Totals {
@@ -64,10 +65,16 @@
     pub kept_upstreams: u64,
     /// Times that all instances together had made more retries in a window than their budget allows.
     pub overspent: u64,
+    /// Steps at which an upstream had got more requests in four seconds than the rate that it names allows.
+    pub exceeded_rates: u64,
     /// Requests with a prompt segment that crashes upstreams that were sent later than allowed.
     pub late_sends: u64,
     /// Sound requests that were refused for a segment.
     pub wrongly_refused: u64,
+    /// Requests that were sent to upstreams that named a rate.
+    pub limited_sends: u64,
+    /// Requests that the rates of upstreams allowed.
+    pub named_requests: u64,
     /// Crashes that a segment caused.
     pub crashes: u64,
     /// Sound requests that were sent beside those.
@@ -111,6 +118,7 @@
             && self.unknown_upstreams == 0
             && self.kept_upstreams == 0
             && self.overspent == 0
+            && self.exceeded_rates == 0
             && self.late_sends == 0
             && self.wrongly_refused * MIN_SOUND_PER_REFUSED <= self.sound_sends
     }
@@ -126,12 +134,16 @@
         let crashing = crashing::run(seed, steps / CRASHING_STEPS_DIVISOR, guards);
         let configs = configs::run(seed, steps, guards);
         let leases = leases::run(seed, steps, guards);
+        let rates = rates::run(seed, steps, guards);
         let restored_list = restored_list::run(seed, steps, guards);
         let restored_log = restored_log::run(seed, steps, guards);
         let streams = streams::run(seed, steps, guards);
         totals.schedules += 1;
         totals.overspent += budgets.overspent;
         totals.retries += budgets.retries;
+        totals.exceeded_rates += rates.exceeded;
+        totals.limited_sends += rates.limited_sends;
+        totals.named_requests += rates.named_tenths / 10;
         totals.late_sends += crashing.late_sends;
         totals.wrongly_refused += crashing.wrongly_refused;
         totals.crashes += crashing.crashes;
--- a/crates/vanillakeel-bench/tests/random_schedules.rs
+++ b/crates/vanillakeel-bench/tests/random_schedules.rs
@@ -34,6 +34,18 @@
     assert_eq!(totals.overspent, 0, "{totals:?}");
 }
 
+/// Guards against upstreams that get more requests from all instances than the rates that they name allow, and
+/// against rates that are not used: the schedules always have more requests than that.
+#[test]
+fn no_exceeded_rates() {
+    let totals = run_schedules(SEED, SCHEDULES, STEPS, Guards::default());
+    assert_eq!(totals.exceeded_rates, 0, "{totals:?}");
+    assert!(
+        totals.limited_sends * 2 >= totals.named_requests,
+        "{totals:?}"
+    );
+}
+
 /// Guards against requests with a crashing segment that reach upstreams later than allowed, and against a
 /// quarantine that refuses sound requests, beside crashes by chance, lost datagrams, restarts and cuts.
 #[test]
@@ -62,6 +74,9 @@
 #[case::old_answer(Guards { dates_reads: false, ..Guards::default() }, |t: &Totals| t.wrongly_removed)]
 #[case::unheard_instances(Guards { counts_unheard: false, ..Guards::default() }, |t: &Totals| t.overspent)]
 #[case::slack_again(Guards { starts_without_slack: false, ..Guards::default() }, |t: &Totals| t.overspent)]
+#[case::whole_rate(Guards { divides_rates: false, ..Guards::default() }, |t: &Totals| t.exceeded_rates)]
+#[case::only_heard(Guards { counts_silent: false, ..Guards::default() }, |t: &Totals| t.exceeded_rates)]
+#[case::last_answer(Guards { orders_answers: false, ..Guards::default() }, |t: &Totals| t.exceeded_rates)]
 #[case::untold_crashes(Guards { shares_crashes: false, ..Guards::default() }, |t: &Totals| t.late_sends)]
 fn missing_guard_found(#[case] guards: Guards, #[case] count: fn(&Totals) -> u64) {
     let totals = run_schedules(SEED, SCHEDULES, STEPS, guards);
--- a/crates/vanillakeel-entry/src/gateway/peers.rs
+++ b/crates/vanillakeel-entry/src/gateway/peers.rs
@@ -124,7 +124,7 @@
         }
     }
     shared.mesh.borrow_mut().on_list_read();
-    shared.roster.borrow_mut().on_list_read(shared.clock.now());
+    shared.roster.borrow_mut().on_list_read();
     tracing::info!(peers = shared.mesh.borrow().len(), "peers known");
     // The address may have been written after the copy from which the log came back.
     while shared.stopping_since.get().is_none() {
--- a/crates/vanillakeel/src/division.rs
+++ b/crates/vanillakeel/src/division.rs
@@ -9,18 +9,18 @@
 //!   second or more. All instances with the same roster work out the same ones by rendezvous hashing.
 //!
 //! An instance that is not heard may be cut off and use its part all the same. It therefore keeps it for some
-//! time, and one that starts takes nothing until the others have heard of it.
+//! time. One that starts knows the others from their list.
 //!
 //! ```
-//! use vanillakeel::{Millis, division::{self, Roster, Settings}, rate_limits::Rate};
+//! use vanillakeel::{division::{self, Roster, Settings}, rate_limits::Rate};
 //!
 //! assert_eq!(division::equal_part(50.0, Some(4)), 12.5);
 //! assert_eq!(division::whole_part(64, Some(5), 16), 12);
 //!
 //! let mut roster = Roster::new("a", Settings::default());
-//! roster.on_list_read(Millis::ZERO);
+//! roster.on_list_read();
 //! let rate = Rate::parse("1.9").expect("a rate");
-//! let part = roster.rate_part(Millis::new(5_000), 7, rate);
+//! let part = roster.rate_part(7, rate);
 //! assert_eq!(part.per_second, 1.9);
 //! ```
 
--- a/crates/vanillakeel/src/division/roster.rs
+++ b/crates/vanillakeel/src/division/roster.rs
@@ -12,9 +12,6 @@
     /// Time for which an instance that is not heard counts as alive. It is longer than most cuts between
     /// instances, on both sides of which parts are used.
     pub silent_ttl_ms: u64,
-    /// Time after its start, or after a pause, from which an instance uses its parts: a window of the limits,
-    /// and the time until all others have heard of it.
-    pub settle_ms: u64,
     /// Time between two ticks from which the process counts as paused.
     pub pause_ms: u64,
     /// Time for which an instance that has been heard is passed on to others.
@@ -27,7 +24,6 @@
     fn default() -> Self {
         Self {
             silent_ttl_ms: 60_000,
-            settle_ms: 5_000,
             pause_ms: 2_000,
             passed_on_ms: 1_500,
             tell_every_ms: 1_000,
@@ -72,8 +68,8 @@
     settings: Settings,
     /// Number of instances that is taken for granted, if they do not exchange messages.
     fixed: Option<u32>,
-    /// Time from which this instance uses its parts; `None` until it has read the list of instances.
-    settled_at: Option<Millis>,
+    /// Whether the list of instances has been read, before which this instance has no part.
+    has_list: bool,
     last_tick: Option<Millis>,
     /// The other instances, sorted by id.
     others: Vec<Entry>,
@@ -93,7 +89,7 @@
             me: instance_id(me),
             settings,
             fixed: None,
-            settled_at: None,
+            has_list: false,
             last_tick: None,
             others: Vec::new(),
         }
@@ -104,15 +100,15 @@
     pub fn fixed(instances: u32) -> Self {
         Self {
             fixed: Some(instances.max(1)),
-            settled_at: Some(Millis::ZERO),
+            has_list: true,
             ..Self::new("", Settings::default())
         }
     }
 
     /// Records that the list of instances has been read, and each of them told by
     /// [`on_heard`](Self::on_heard).
-    pub const fn on_list_read(&mut self, now: Millis) {
-        self.settled_at = Some(now.plus(self.settings.settle_ms));
+    pub const fn on_list_read(&mut self) {
+        self.has_list = true;
     }
 
     /// Records that instances have been heard, or that others have heard them lately.
@@ -151,14 +147,17 @@
 
     /// Forgets instances that have been silent for too long; has to be called several times a second.
     ///
-    /// If it was not, the process has been paused, and parts may have been handed on meanwhile.
+    /// A pause of the process between two calls is no silence of the others.
     pub fn tick(&mut self, now: Millis) {
         let cfg = self.settings;
-        if let Some(last) = self.last_tick.replace(now)
-            && now.since(last) >= cfg.pause_ms
-            && let Some(settled_at) = &mut self.settled_at
-        {
-            *settled_at = now.plus(cfg.settle_ms);
+        let since_last_ms = self.last_tick.replace(now).map_or(0, |at| now.since(at));
+        let paused_ms = if since_last_ms >= cfg.pause_ms {
+            since_last_ms
+        } else {
+            0
+        };
+        for entry in &mut self.others {
+            entry.heard = entry.heard.plus(paused_ms).min(now);
         }
         self.others
             .retain(|e| now.since(e.heard) < cfg.silent_ttl_ms);
@@ -193,19 +192,17 @@
 
     /// Returns the part of a rate that this instance may use; `key` identifies the upstream that named it.
     ///
-    /// The rate goes to as many instances as it has requests a second, rounded up. Those that are not among
-    /// them, or have not settled, have no part.
+    /// The rate goes to as many instances as it has requests a second, rounded up; the others have no part.
     #[must_use]
-    pub fn rate_part(&self, now: Millis, key: u32, rate: Rate) -> RatePart {
+    pub fn rate_part(&self, key: u32, rate: Rate) -> RatePart {
         let instances = self.instances();
         let holders = if self.fixed.is_some() {
             instances
         } else {
             (rate.per_second().ceil() as u32).clamp(1, instances)
         };
-        let is_settled = self.settled_at.is_some_and(|at| now >= at);
         let is_holder = self.fixed.is_some() || self.position(key) < holders;
-        let per_second = if is_settled && is_holder {
+        let per_second = if self.has_list && is_holder {
             rate.per_second() / f64::from(holders)
         } else {
             0.0
--- a/crates/vanillakeel/src/fleet/limited.rs
+++ b/crates/vanillakeel/src/fleet/limited.rs
@@ -233,7 +233,7 @@
     fn divide_rate(&mut self, now: Millis, roster: &Roster) {
         let limit = &mut self.rate_limit;
         let rate = limit.rate();
-        let part = rate.map(|rate| roster.rate_part(now, limit.id(), rate));
+        let part = rate.map(|rate| roster.rate_part(limit.id(), rate));
         limit.set_part(now, part.unwrap_or_default());
     }
 
