--- a/crates/vanillakeel-entry/src/gateway/rate_limits.rs
+++ b/crates/vanillakeel-entry/src/gateway/rate_limits.rs
@@ -10,19 +10,24 @@
 };
 use http::{
     HeaderMap,
-    HeaderName, //
+    HeaderValue, //
 };
 use vanillakeel::{
     Millis,
     division::Scope,
-    fleet::RateChange,
     rate_limits::{
         BadRate,
         Rate,
-        ToldRate, //
+        RateChange, //
     },
 };
-use vanillakeel_wire::generated::MeshRate;
+use vanillakeel_wire::{
+    convert::{
+        rate_from_wire,
+        rate_to_wire, //
+    },
+    generated::NamedRate,
+};
 
 /// Longest part of a value that can't be read that is shown in the log, in bytes.
 const MAX_SHOWN_BYTES: usize = 32;
@@ -36,21 +41,6 @@
     Peer(&'a str, u64),
 }
 
-/// Returns the rate that a head names, or the lowest one if it names several; `None` if it names none.
-///
-/// # Errors
-///
-/// Returns an error if one of the values can't be read.
-fn named_rate(headers: &HeaderMap, name: &HeaderName) -> Result<Option<Rate>, BadRate> {
-    let mut lowest: Option<Rate> = None;
-    for value in headers.get_all(name) {
-        let text = value.to_str().map_err(|_| BadRate::NotDecimal)?;
-        let rate = Rate::parse(text)?;
-        lowest = Some(lowest.map_or(rate, |l| if rate < l { rate } else { l }));
-    }
-    Ok(lowest)
-}
-
 /// Records the rate limit that the head of an answer names, or that it names none.
 ///
 /// A value that can't be read changes nothing.
@@ -60,8 +50,8 @@
     call: &Call,
     headers: &HeaderMap,
 ) {
-    let name = &shared.header_names.rate_limit;
-    let rate = match named_rate(headers, name) {
+    let values = headers.get_all(&shared.header_names.rate_limit);
+    let rate = match Rate::lowest_of(values.iter().map(HeaderValue::as_bytes)) {
         Ok(rate) => rate,
         Err(e) => return log_unreadable(shared, request, call, headers, e),
     };
@@ -144,31 +134,17 @@
 }
 
 /// Encodes what other instances should know of the rates of upstreams.
-pub(super) fn to_wire(shared: &Shared, now: Millis) -> Vec<MeshRate> {
-    let age = |ms: u64| u32::try_from(ms).unwrap_or(u32::MAX);
+pub(super) fn to_wire(shared: &Shared, now: Millis) -> Vec<NamedRate> {
     let told = shared.fleet.borrow().told_rates(now);
-    let encode = |t: &ToldRate| MeshRate {
-        upstream: t.upstream,
-        rate: t.rate.map(Rate::per_second),
-        sent_age: age(t.sent_age_ms),
-        seen_age: age(t.seen_age_ms),
-    };
-    told.iter().map(encode).collect()
+    told.iter().map(rate_to_wire).collect()
 }
 
 /// Applies what a peer tells of the rates of upstreams; numbers that are no rates are left out.
-pub(super) fn apply_told(shared: &Shared, now: Millis, peer: &str, told: &[MeshRate]) {
+pub(super) fn apply_told(shared: &Shared, now: Millis, peer: &str, told: &[NamedRate]) {
     for wire in told {
-        let rate = wire.rate.map(Rate::new);
-        if rate == Some(None) {
+        let Some(told) = rate_from_wire(wire) else {
             shared.metrics.bad_rate_limits.inc();
             continue;
-        }
-        let told = ToldRate {
-            upstream: wire.upstream,
-            rate: rate.flatten(),
-            sent_age_ms: u64::from(wire.sent_age),
-            seen_age_ms: u64::from(wire.seen_age),
         };
         let roster = shared.roster.borrow();
         let change = shared.fleet.borrow_mut().on_told_rate(now, &told, &roster);
--- a/crates/vanillakeel-wire/src/convert.rs
+++ b/crates/vanillakeel-wire/src/convert.rs
@@ -21,6 +21,10 @@
     config_log,
     lease,
     membership,
+    rate_limits::{
+        Rate,
+        ToldRate, //
+    },
     share, //
 };
 
@@ -290,3 +294,30 @@
     };
     Some((&message.pool, share))
 }
+
+/// Converts what an instance tells of the rate of an upstream to its protobuf form.
+#[must_use]
+pub fn rate_to_wire(told: &ToldRate) -> wire::NamedRate {
+    let age = |ms: u64| u32::try_from(ms).unwrap_or(u32::MAX);
+    wire::NamedRate {
+        upstream: told.upstream,
+        rate: told.rate.map(Rate::per_second),
+        sent_age: age(told.sent_age_ms),
+        seen_age: age(told.seen_age_ms),
+    }
+}
+
+/// Converts a protobuf message about the rate of an upstream; returns `None` if its number is no rate.
+#[must_use]
+pub fn rate_from_wire(message: &wire::NamedRate) -> Option<ToldRate> {
+    let rate = match message.rate {
+        Some(per_second) => Some(Rate::new(per_second)?),
+        None => None,
+    };
+    Some(ToldRate {
+        upstream: message.upstream,
+        rate,
+        sent_age_ms: u64::from(message.sent_age),
+        seen_age_ms: u64::from(message.seen_age),
+    })
+}
--- a/crates/vanillakeel-wire/src/generated.rs
+++ b/crates/vanillakeel-wire/src/generated.rs
@@ -160,6 +160,8 @@
     /// The sender is leaving.
     #[prost(bool, tag = "8")]
     pub leaving: bool,
+    #[prost(message, repeated, tag = "9")]
+    pub rates: ::prost::alloc::vec::Vec<NamedRate>,
 }
 /// An instance or an upstream, as the sender knows it.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -272,11 +274,11 @@
     #[prost(message, optional, tag = "6")]
     pub crashes: ::core::option::Option<MeshCrashes>,
     #[prost(message, repeated, tag = "7")]
-    pub rates: ::prost::alloc::vec::Vec<MeshRate>,
+    pub rates: ::prost::alloc::vec::Vec<NamedRate>,
 }
 /// What the head of an answer said of the rate that an upstream takes. Times are ages, in ms.
 #[derive(Clone, Copy, PartialEq, ::prost::Message)]
-pub struct MeshRate {
+pub struct NamedRate {
     /// Identifies the process of the upstream.
     #[prost(fixed32, tag = "1")]
     pub upstream: u32,
@@ -365,7 +367,7 @@
     #[prost(message, optional, tag = "11")]
     pub crashes: ::core::option::Option<MeshCrashes>,
     #[prost(message, repeated, tag = "12")]
-    pub rates: ::prost::alloc::vec::Vec<MeshRate>,
+    pub rates: ::prost::alloc::vec::Vec<NamedRate>,
     /// Hashes of the names of all instances that have been heard lately; empty if they were told lately.
     #[prost(fixed32, repeated, tag = "13")]
     pub roster: ::prost::alloc::vec::Vec<u32>,
@@ -386,7 +388,7 @@
     #[prost(message, optional, tag = "5")]
     pub crashes: ::core::option::Option<MeshCrashes>,
     #[prost(message, repeated, tag = "6")]
-    pub rates: ::prost::alloc::vec::Vec<MeshRate>,
+    pub rates: ::prost::alloc::vec::Vec<NamedRate>,
     /// Hashes of the names of the instances of the data centre; empty if they were told lately.
     #[prost(fixed32, repeated, tag = "7")]
     pub roster: ::prost::alloc::vec::Vec<u32>,
--- a/crates/vanillakeel/src/fleet.rs
+++ b/crates/vanillakeel/src/fleet.rs
@@ -40,11 +40,7 @@
 pub(crate) use self::upstream::RANK_COUNT;
 pub use self::{
     admit::Overload,
-    limited::{
-        NoRoom,
-        RateChange,
-        RateTotals, //
-    },
+    limited::NoRoom,
     missing::MissingUpstreams,
     notices::CacheNotice,
     removed::RemovedUpstreams,
--- a/crates/vanillakeel/src/fleet/limited.rs
+++ b/crates/vanillakeel/src/fleet/limited.rs
@@ -22,7 +22,10 @@
         Roster, //
     },
     rate_limits::{
+        self,
         Rate,
+        RateChange,
+        RateTotals,
         ToldRate, //
     },
 };
@@ -31,9 +34,6 @@
 /// Time for which less urgent requests leave limited upstreams to those that have found no room there, in ms.
 const STAND_BACK_MS: u64 = 1_000;
 
-/// Most rate limits that are told at a time; those seen last come first.
-const MAX_TOLD: usize = 64;
-
 /// The upstreams that could take the request have no room: {upstreams} of them take {per_second} requests a second from all instances and {own_per_second} from this one, room is expected in {wait_ms} ms
 #[derive(Clone, Copy, Debug, PartialEq, displaydoc::Display)]
 pub struct NoRoom {
@@ -49,32 +49,6 @@
     pub retry_after_ms: u64,
 }
 
-/// A change of an upstream's rate limit.
-#[derive(Clone, Debug, PartialEq)]
-pub struct RateChange {
-    /// Name of the upstream.
-    pub upstream: Arc<str>,
-    /// Its service.
-    pub service: Arc<str>,
-    /// Rate that it names now.
-    pub rate: Option<Rate>,
-    /// Rate that it named before.
-    pub previous: Option<Rate>,
-    /// Part of the rate that this instance may use.
-    pub part: RatePart,
-}
-
-/// All rate limits together.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct RateTotals {
-    /// Upstreams that name a rate.
-    pub upstreams: u32,
-    /// Requests a second that they take from all instances.
-    pub per_second: f64,
-    /// Requests a second that they take from this instance.
-    pub own_per_second: f64,
-}
-
 /// Times at which requests of a service found no room last, by rank.
 #[derive(Clone, Debug)]
 pub(super) struct RoomSought {
@@ -200,23 +174,15 @@
     /// Returns what other instances should know of the rates of upstreams.
     #[must_use]
     pub fn told_rates(&self, now: Millis) -> Vec<ToldRate> {
-        let upstreams = self.upstreams();
-        let mut told: Vec<_> = upstreams.filter_map(|u| u.rate_limit.told(now)).collect();
-        told.sort_by_key(|t| t.seen_age_ms);
-        told.truncate(MAX_TOLD);
-        told
+        rate_limits::told_rates(self.upstreams().map(|u| &u.rate_limit), now)
     }
 
     /// Works out anew which part of each rate this instance may use; returns the totals.
     pub fn divide_rates(&mut self, now: Millis, roster: &Roster) -> RateTotals {
         let mut totals = RateTotals::default();
         for upstream in self.iter_mut() {
-            upstream.divide_rate(now, roster);
-            if let Some(rate) = upstream.rate_limit.rate() {
-                totals.upstreams += 1;
-                totals.per_second += rate.per_second();
-                totals.own_per_second += upstream.rate_limit.part().per_second;
-            }
+            upstream.rate_limit.divide(now, roster);
+            totals.add(&upstream.rate_limit);
         }
         totals
     }
@@ -230,15 +196,8 @@
 }
 
 impl Upstream {
-    fn divide_rate(&mut self, now: Millis, roster: &Roster) {
-        let limit = &mut self.rate_limit;
-        let rate = limit.rate();
-        let part = rate.map(|rate| roster.rate_part(limit.id(), rate));
-        limit.set_part(now, part.unwrap_or_default());
-    }
-
     fn rate_change(&mut self, now: Millis, previous: Option<Rate>, roster: &Roster) -> RateChange {
-        self.divide_rate(now, roster);
+        self.rate_limit.divide(now, roster);
         RateChange {
             upstream: Arc::clone(&self.listed.name),
             service: Arc::clone(&self.listed.service),
--- a/crates/vanillakeel/src/rate_limits.rs
+++ b/crates/vanillakeel/src/rate_limits.rs
@@ -33,7 +33,10 @@
         Rate, //
     },
     state::{
+        RateChange,
         RateLimit,
-        ToldRate, //
+        RateTotals,
+        ToldRate,
+        told_rates, //
     },
 };
--- a/crates/vanillakeel/src/rate_limits/rate.rs
+++ b/crates/vanillakeel/src/rate_limits/rate.rs
@@ -60,6 +60,21 @@
         number.and_then(Self::new).ok_or(BadRate::NotDecimal)
     }
 
+    /// Reads the values of the header that names a rate and returns the lowest one; `None` if there is none.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if one of the values can't be read.
+    pub fn lowest_of<'a>(values: impl Iterator<Item = &'a [u8]>) -> Result<Option<Self>, BadRate> {
+        let mut lowest: Option<Self> = None;
+        for value in values {
+            let text = std::str::from_utf8(value).map_err(|_| BadRate::NotDecimal)?;
+            let rate = Self::parse(text)?;
+            lowest = Some(lowest.map_or(rate, |l| if rate < l { rate } else { l }));
+        }
+        Ok(lowest)
+    }
+
     /// Returns the requests a second.
     #[must_use]
     pub const fn per_second(self) -> f64 {
--- a/crates/vanillakeel/src/rate_limits/state.rs
+++ b/crates/vanillakeel/src/rate_limits/state.rs
@@ -10,12 +10,19 @@
 };
 use crate::{
     Millis,
-    division::RatePart, //
+    division::{
+        RatePart,
+        Roster, //
+    },
 };
+use std::sync::Arc;
 
 /// Time for which the end of a limit is told to other instances, in ms.
 const END_TOLD_MS: u64 = 10_000;
 
+/// Most rate limits that are told at a time.
+const MAX_TOLD: usize = 64;
+
 /// What an instance tells others of the rate limit of an upstream. All times are ages, as their clocks differ.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ToldRate {
@@ -29,6 +36,52 @@
     pub seen_age_ms: u64,
 }
 
+/// A change of an upstream's rate limit.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RateChange {
+    /// Name of the upstream.
+    pub upstream: Arc<str>,
+    /// The service or pool that it belongs to.
+    pub service: Arc<str>,
+    /// Rate that it names now.
+    pub rate: Option<Rate>,
+    /// Rate that it named before.
+    pub previous: Option<Rate>,
+    /// Part of the rate that this instance may use.
+    pub part: RatePart,
+}
+
+/// The rate limits of several upstreams together.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RateTotals {
+    /// Upstreams that name a rate.
+    pub upstreams: u32,
+    /// Requests a second that they take from all instances.
+    pub per_second: f64,
+    /// Requests a second that they take from this instance.
+    pub own_per_second: f64,
+}
+
+impl RateTotals {
+    /// Adds the limit of one upstream, if it names one.
+    pub fn add(&mut self, limit: &RateLimit) {
+        if let Some(rate) = limit.rate() {
+            self.upstreams += 1;
+            self.per_second += rate.per_second();
+            self.own_per_second += limit.part().per_second;
+        }
+    }
+}
+
+/// Returns what other instances should know of several upstreams: a bounded number, those seen last.
+#[must_use]
+pub fn told_rates<'a>(limits: impl Iterator<Item = &'a RateLimit>, now: Millis) -> Vec<ToldRate> {
+    let mut told: Vec<_> = limits.filter_map(|l| l.told(now)).collect();
+    told.sort_by_key(|t| t.seen_age_ms);
+    told.truncate(MAX_TOLD);
+    told
+}
+
 /// The rate limit of one upstream, as one instance knows it.
 #[derive(Clone, Debug)]
 pub struct RateLimit {
@@ -138,6 +191,12 @@
         self.part = part;
     }
 
+    /// Works out anew which part of the rate this instance may use.
+    pub fn divide(&mut self, now: Millis, roster: &Roster) {
+        let part = self.rate().map(|rate| roster.rate_part(self.id, rate));
+        self.set_part(now, part.unwrap_or_default());
+    }
+
     /// Returns whether a request may be sent now.
     #[must_use]
     pub fn has_room(&self, now: Millis) -> bool {
