fix: vanillakeel-entry keeps the rates that engines name

Engines name it in x-rate-limit; the router does not select an engine without room, divides the rate over the live instances as the pass-through daemon does, and gossip carries what was seen. The queue is served by tier as before, so the room goes to the highest one. A request is refused at once at an instance that no upstream gives a part, and Retry-After counts the queue against the rate. A request is not preempted where only a rate limit is in the way.

The stand-in engine names limits by its faults, by a file that it reads for each answer, and above a number of waiting requests.

--- a/crates/vanillakeel-entry/src/caller/answer.rs
+++ b/crates/vanillakeel-entry/src/caller/answer.rs
@@ -254,6 +254,10 @@
 
     fn on_message(&mut self, message: AttemptMessage) -> Flow {
         match message {
+            AttemptMessage::Head { attempt, rate } => {
+                self.notify_control(Input::AnswerHead { attempt, rate });
+                Flow::Continue
+            }
             AttemptMessage::Event { attempt, data } => self.on_event(attempt, data),
             AttemptMessage::Whole { attempt, answer } => {
                 if self.try_win(attempt) {
--- a/crates/vanillakeel-entry/src/control.rs
+++ b/crates/vanillakeel-entry/src/control.rs
@@ -8,6 +8,7 @@
 mod agreed;
 mod peers;
 mod placing;
+mod rates;
 mod requests;
 mod status;
 
@@ -127,6 +128,8 @@
 #[derive(Debug)]
 struct SentAttempt {
     id: u64,
+    upstream: Arc<str>,
+    sent: Millis,
     progress: Arc<Progress>,
     /// Number of tokens last reported to the router.
     reported_tokens: u32,
@@ -277,6 +280,7 @@
             Input::FirstToken { attempt } => {
                 self.router.on_first_token(now, attempt);
             }
+            Input::AnswerHead { attempt, rate } => self.on_answer_head(now, attempt, rate),
             Input::AttemptEnded { attempt, end } => self.on_attempt_end(now, attempt, end),
             Input::WastedTokens { tokens } => self.router.on_wasted_tokens(tokens),
             Input::CallerGone { request } => self.on_caller_gone(now, request),
--- a/crates/vanillakeel-entry/src/control/peers.rs
+++ b/crates/vanillakeel-entry/src/control/peers.rs
@@ -80,6 +80,7 @@
             version: self.config_replica.version(),
             members: leaving.map(wire::Member::from).collect(),
             leaving: self.is_leaving(),
+            rates: self.rates_to_wire(),
             ..PeerMessage::default()
         }
     }
@@ -158,6 +159,7 @@
         if has_changed {
             self.on_members_changed(now);
         }
+        self.on_told_rates(now, message);
         for share in &message.shares {
             if let Some((pool, share)) = share_from_wire(share) {
                 self.router.on_peer_message(now, &message.from, pool, share);
--- a/crates/vanillakeel-entry/src/control/requests.rs
+++ b/crates/vanillakeel-entry/src/control/requests.rs
@@ -256,6 +256,8 @@
         let progress = Arc::new(Progress::default());
         request.attempts.push(SentAttempt {
             id: attempt,
+            upstream: Arc::clone(upstream),
+            sent: now,
             progress: Arc::clone(&progress),
             reported_tokens: 0,
         });
--- a/crates/vanillakeel-entry/src/control/status.rs
+++ b/crates/vanillakeel-entry/src/control/status.rs
@@ -24,6 +24,8 @@
         metrics.version.set(self.config_replica.version() as i64);
         metrics.open_calls.set(self.requests.len() as i64);
         metrics.ejected.set(self.router.ejected() as i64);
+        self.publish_rates();
+        let metrics = self.metrics();
         metrics.claim_keys.set(self.claims.log_state().len() as i64);
         metrics
             .list_age_ms
--- a/crates/vanillakeel-entry/src/message.rs
+++ b/crates/vanillakeel-entry/src/message.rs
@@ -22,6 +22,10 @@
         Key, //
     },
     membership::Member,
+    rate_limits::{
+        BadRate,
+        Rate, //
+    },
     routing::LoadReport,
 };
 use vanillakeel_log::Page;
@@ -39,6 +43,11 @@
     },
     /// The first token of an attempt, or the start of its answer, goes to the caller.
     FirstToken { attempt: u64 },
+    /// The head of an attempt's answer has arrived, with the rate that it names.
+    AnswerHead {
+        attempt: u64,
+        rate: Result<Option<Rate>, BadRate>,
+    },
     /// An attempt has ended.
     AttemptEnded { attempt: u64, end: End },
     /// Tokens of an attempt were discarded because another attempt answers the request.
@@ -119,6 +128,11 @@
 /// A message from the thread of an attempt to the thread of its request.
 #[derive(Debug)]
 pub(crate) enum AttemptMessage {
+    /// The head of the answer has arrived; `rate` is what it names in the header for that.
+    Head {
+        attempt: u64,
+        rate: Result<Option<Rate>, BadRate>,
+    },
     /// The data of a server-sent event.
     Event { attempt: u64, data: String },
     /// The complete answer of a plain service.
--- a/crates/vanillakeel-entry/src/metrics.rs
+++ b/crates/vanillakeel-entry/src/metrics.rs
@@ -13,7 +13,10 @@
     },
     registry::Registry,
 };
-use std::sync::Mutex;
+use std::sync::{
+    Mutex,
+    atomic::AtomicU64, //
+};
 use vanillakeel::router::Counts;
 
 /// Bucket bounds of the delay histograms, in seconds.
@@ -71,6 +74,12 @@
     pub(crate) list_age_ms: Gauge,
     pub(crate) events_at_risk: Gauge,
     pub(crate) claim_keys: Gauge,
+    pub(crate) bad_rates: Family<KindLabel, Counter>,
+    pub(crate) limited_upstreams: Gauge,
+    /// Requests a second that all limited upstreams take together.
+    pub(crate) named_rate: Gauge<f64, AtomicU64>,
+    /// The part of it that this instance may use.
+    pub(crate) own_rate: Gauge<f64, AtomicU64>,
     /// Decisions of the router by kind.
     router: Family<KindLabel, Counter>,
     /// Counts of the router at the last call of `sync_router`.
@@ -96,6 +105,10 @@
             list_age_ms: Gauge::default(),
             events_at_risk: Gauge::default(),
             claim_keys: Gauge::default(),
+            bad_rates: Family::default(),
+            limited_upstreams: Gauge::default(),
+            named_rate: Gauge::default(),
+            own_rate: Gauge::default(),
             router: Family::default(),
             last_counts: Mutex::default(),
         };
@@ -147,6 +160,30 @@
         r.register("events_at_risk", "Services not ready in time", risk);
         let keys = self.claim_keys.clone();
         r.register("claim_keys", "Idempotency keys remembered", keys);
+        let bad_rates = self.bad_rates.clone();
+        r.register(
+            "bad_rate_limits",
+            "Rate limits that can't be read",
+            bad_rates,
+        );
+        let limited = self.limited_upstreams.clone();
+        r.register(
+            "rate_limited_upstreams",
+            "Upstreams that name a rate limit",
+            limited,
+        );
+        let named_rate = self.named_rate.clone();
+        r.register(
+            "rate_limit_requests_per_second",
+            "Requests a second that these upstreams take from all instances",
+            named_rate,
+        );
+        let own_rate = self.own_rate.clone();
+        r.register(
+            "rate_limit_part_requests_per_second",
+            "Requests a second that these upstreams take from this instance",
+            own_rate,
+        );
         r.register("router", "Decisions of the router", self.router.clone());
     }
 
--- a/crates/vanillakeel-entry/src/upstream.rs
+++ b/crates/vanillakeel-entry/src/upstream.rs
@@ -27,7 +27,10 @@
     },
     time::Duration,
 };
-use vanillakeel::Verdict;
+use vanillakeel::{
+    Verdict,
+    rate_limits::Rate, //
+};
 use vanillakeel_http::{
     Body,
     Events,
@@ -40,6 +43,9 @@
 /// Header in which an upstream reports that it has not run a request.
 const VERDICT_HEADER: &str = "x-verdict";
 
+/// Header in which an upstream names the requests a second that it takes from all instances together.
+const RATE_HEADER: &str = "x-rate-limit";
+
 /// The request as it is sent to an upstream; all attempts share it.
 #[derive(Clone, Debug)]
 pub(crate) struct UpstreamRequest {
@@ -100,14 +106,24 @@
             verdict: Verdict::NotRun,
         };
     }
-    match req.bytes(upstream_request.body.as_slice()).send() {
-        Err(e) => AttemptOutcome::Failed {
-            verdict: verdict_of_error(&e),
-        },
-        Ok(answer) if upstream_request.is_model => {
+    let answer = match req.bytes(upstream_request.body.as_slice()).send() {
+        Ok(answer) => answer,
+        Err(e) => {
+            return AttemptOutcome::Failed {
+                verdict: verdict_of_error(&e),
+            };
+        }
+    };
+    let named = answer.headers().get_all(RATE_HEADER).iter();
+    let _ = tx.send(AttemptMessage::Head {
+        attempt: attempt.id,
+        rate: Rate::lowest_of(named.map(|value| value.as_bytes())),
+    });
+    match answer {
+        answer if upstream_request.is_model => {
             read_model_answer(attempt, upstream_request, answer, tx)
         }
-        Ok(answer) => read_plain_answer(attempt, upstream_request, answer, tx),
+        answer => read_plain_answer(attempt, upstream_request, answer, tx),
     }
 }
 
--- a/crates/vanillakeel-standin/src/engine/answer.rs
+++ b/crates/vanillakeel-standin/src/engine/answer.rs
@@ -1,8 +1,11 @@
 //! Handles completion requests and sends their answers, streamed or whole.
 
-use super::state::{
-    ActiveCompletion,
-    State, //
+use super::{
+    named_rate::response_head,
+    state::{
+        ActiveCompletion,
+        State, //
+    },
 };
 use crate::{
     batch::{
@@ -21,13 +24,13 @@
     unbounded, //
 };
 use serde::Deserialize;
-use serde_json::json;
+use serde_json::{
+    Value,
+    json, //
+};
 use std::sync::Arc;
 use tiny_http::Request;
-use vanillakeel_http::{
-    ChunkedResponse,
-    ResponseHead, //
-};
+use vanillakeel_http::ChunkedResponse;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Number of leading bytes of a prompt whose hash identifies its prefix.
@@ -72,19 +75,30 @@
     }
 }
 
+/// Responds with `body` as JSON.
+fn json(state: &State, req: Request, status: u16, body: &Value) {
+    let head = response_head(state, status).header("Content-Type", "application/json");
+    let _ = head.respond(req, body.to_string().as_bytes());
+}
+
 /// Handles a completion request, and blocks until its answer is sent.
 pub(super) fn handle(state: &Arc<State>, mut req: Request) {
     let body = reply::read_body(&mut req);
     let completion: Completion = match serde_json::from_slice(&body) {
         Ok(completion) => completion,
         Err(e) => {
-            reply::json(req, 400, &json!({"error": {"message": e.to_string()}}));
+            json(
+                state,
+                req,
+                400,
+                &json!({"error": {"message": e.to_string()}}),
+            );
             return;
         }
     };
     if !state.lock().models.contains(&completion.model) {
         let message = format!("the model '{}' is not loaded", completion.model);
-        reply::json(req, 404, &json!({"error": {"message": message}}));
+        json(state, req, 404, &json!({"error": {"message": message}}));
         return;
     }
     let prompt = completion.prompt_text();
@@ -92,31 +106,36 @@
     let attempt_id = header("x-attempt-id");
     let resume_from = header("x-resume-from").parse().unwrap_or(0);
     if resume_from >= answer_tokens(&prompt, completion.max_tokens) {
-        finish_delivered(req, completion.stream, resume_from);
+        finish_delivered(state, req, completion.stream, resume_from);
         return;
     }
     let Some(tokens) = enqueue(state, &completion, &prompt, attempt_id, resume_from) else {
-        reply::json(req, 429, &json!({"error": {"message": "too many wait"}}));
+        json(
+            state,
+            req,
+            429,
+            &json!({"error": {"message": "too many wait"}}),
+        );
         return;
     };
     if completion.stream {
-        stream_answer(req, &tokens, &prompt, resume_from);
+        stream_answer(state, req, &tokens, &prompt, resume_from);
     } else {
-        send_whole_answer(req, &tokens, &prompt, resume_from);
+        send_whole_answer(state, req, &tokens, &prompt, resume_from);
     }
 }
 
 /// Ends an answer of which the caller has all tokens already.
-fn finish_delivered(req: Request, is_stream: bool, resume_from: u32) {
+fn finish_delivered(state: &State, req: Request, is_stream: bool, resume_from: u32) {
     let end = json!({
         "choices": [{"index": 0, "delta": {}, "finish_reason": "stop"}],
         "usage": {"completion_tokens": resume_from, "resumed_from": resume_from},
     });
     if !is_stream {
-        reply::json(req, 200, &end);
+        json(state, req, 200, &end);
         return;
     }
-    let head = ResponseHead::new(200).header("Content-Type", "text/event-stream");
+    let head = response_head(state, 200).header("Content-Type", "text/event-stream");
     let events = format!("data: {end}\n\ndata: [DONE]\n\n");
     let _ = head.respond(req, events.as_bytes());
 }
@@ -159,8 +178,14 @@
 ///
 /// If the sequence is dropped, the channel closes early and the stream ends without its final
 /// chunk.
-fn stream_answer(req: Request, tokens: &Receiver<Token>, prompt: &str, resume_from: u32) {
-    let head = ResponseHead::new(200).header("Content-Type", "text/event-stream");
+fn stream_answer(
+    state: &State,
+    req: Request,
+    tokens: &Receiver<Token>,
+    prompt: &str,
+    resume_from: u32,
+) {
+    let head = response_head(state, 200).header("Content-Type", "text/event-stream");
     let Ok(mut out) = ChunkedResponse::start(req, &head) else {
         return;
     };
@@ -188,7 +213,13 @@
 }
 
 /// Sends the whole answer after its last token.
-fn send_whole_answer(req: Request, tokens: &Receiver<Token>, prompt: &str, resume_from: u32) {
+fn send_whole_answer(
+    state: &State,
+    req: Request,
+    tokens: &Receiver<Token>,
+    prompt: &str,
+    resume_from: u32,
+) {
     let mut text = String::new();
     for token in tokens {
         text.push_str(&token_text(prompt, token.index));
@@ -198,7 +229,7 @@
                     "finish_reason": "stop"}],
                 "usage": {"completion_tokens": token.index + 1, "resumed_from": resume_from},
             });
-            reply::json(req, 200, &body);
+            json(state, req, 200, &body);
             return;
         }
     }
--- a/crates/vanillakeel-standin/src/engine/state.rs
+++ b/crates/vanillakeel-standin/src/engine/state.rs
@@ -20,6 +20,7 @@
     collections::VecDeque,
     io,
     net::SocketAddr,
+    path::PathBuf,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{
@@ -65,6 +66,10 @@
     pub checks_fencing: bool,
     /// Address of the weight store; without it, a load takes no time.
     pub weight_store: Option<SocketAddr>,
+    /// File with the rate limit that is named; it is read for each answer, and an empty one names none.
+    pub rate_file: Option<PathBuf>,
+    /// Rate limit in requests a second, and the number of waiting sequences above which it is named.
+    pub rate_above_waiting: Option<(f64, usize)>,
 }
 
 impl Default for Settings {
@@ -75,6 +80,8 @@
             report_lag_ms: 500,
             checks_fencing: true,
             weight_store: None,
+            rate_file: None,
+            rate_above_waiting: None,
         }
     }
 }
--- a/crates/vanillakeel-standin/src/faults.rs
+++ b/crates/vanillakeel-standin/src/faults.rs
@@ -31,6 +31,8 @@
     pub crashed: bool,
     /// The engine produces no tokens, but its connections stay open.
     pub stalled: bool,
+    /// Requests a second that the engine names as those that it takes from all instances.
+    pub rate_limit: Option<f64>,
 }
 
 impl Default for Fault {
@@ -42,6 +44,7 @@
             slowness: 1.0,
             crashed: false,
             stalled: false,
+            rate_limit: None,
         }
     }
 }
--- a/crates/vanillakeel-standin/src/main.rs
+++ b/crates/vanillakeel-standin/src/main.rs
@@ -11,6 +11,7 @@
 use std::{
     io,
     net::SocketAddr,
+    path::PathBuf,
     thread, //
 };
 use vanillakeel_standin::{
@@ -51,6 +52,28 @@
                         .value_parser(value_parser!(SocketAddr))
                         .help("Address of the weight store; without it, a load takes no time"),
                 )
+                .arg(
+                    Arg::new("rate-limit-file")
+                        .long("rate-limit-file")
+                        .value_name("PATH")
+                        .value_parser(value_parser!(PathBuf))
+                        .help("File with the rate limit to name, in requests a second; read for each answer"),
+                )
+                .arg(
+                    Arg::new("rate-limit")
+                        .long("rate-limit")
+                        .value_name("N")
+                        .value_parser(value_parser!(f64))
+                        .help("Rate limit to name under load, in requests a second"),
+                )
+                .arg(
+                    Arg::new("rate-limit-above")
+                        .long("rate-limit-above")
+                        .value_name("N")
+                        .default_value("0")
+                        .value_parser(value_parser!(usize))
+                        .help("Number of waiting requests above which --rate-limit is named"),
+                )
                 .arg(
                     Arg::new("ignore-fencing")
                         .long("ignore-fencing")
@@ -104,6 +127,11 @@
             let settings = engine::Settings {
                 models: models.cloned().collect(),
                 weight_store: args.get_one("weights").copied(),
+                rate_file: args.get_one::<PathBuf>("rate-limit-file").cloned(),
+                rate_above_waiting: args
+                    .get_one("rate-limit")
+                    .copied()
+                    .zip(args.get_one("rate-limit-above").copied()),
                 checks_fencing: !args.get_flag("ignore-fencing"),
                 ..engine::Settings::default()
             };
--- a/crates/vanillakeel/src/router.rs
+++ b/crates/vanillakeel/src/router.rs
@@ -17,6 +17,7 @@
 //! ```
 
 mod dispatch;
+mod limits;
 mod pending;
 mod pool;
 mod state;
--- a/crates/vanillakeel/src/router/dispatch.rs
+++ b/crates/vanillakeel/src/router/dispatch.rs
@@ -80,7 +80,10 @@
         if let Some(other) = self.pick_in_other_group(now, pool_index, request) {
             return Some(other);
         }
-        if is_below_limit || !protected || !self.preempt(now, pool_index, request) {
+        // Where rate limits leave no room, a preempted request would make none.
+        let has_rate_room = self.pools[pool_index].table.has_rate_room(now);
+        if is_below_limit || !protected || !has_rate_room || !self.preempt(now, pool_index, request)
+        {
             return None;
         }
         self.pick(now, pool_index, request)
@@ -158,7 +161,7 @@
             self.counts.resumes += 1;
         }
         self.pending.add_attempt(attempt, req.id);
-        self.pools[pool_index].table.on_send(&upstream);
+        self.pools[pool_index].table.on_send(now, &upstream);
         self.pools[pool_index].budget.on_send();
         self.actions.push(Action::Send {
             request: req.id,
@@ -266,6 +269,7 @@
                 self.expire(now, pool_index, req.id);
             }
         }
+        self.divide_rates(now);
         self.check_pending(now);
         for pool_index in 0..self.pools.len() {
             self.dispatch(now, pool_index);
--- a/crates/vanillakeel/src/router/pool.rs
+++ b/crates/vanillakeel/src/router/pool.rs
@@ -120,7 +120,11 @@
     pub(super) fn retry_after_ms(&self, now: Millis) -> u64 {
         let slots = self.share.limit(now, self.table.available_slots());
         let rounds = self.queue.len() as f64 / f64::from(slots.max(1));
-        let ms = (rounds * self.service_ms) as u64;
+        let by_slots_ms = rounds * self.service_ms;
+        let queued = self.queue.len() as f64;
+        let rates = self.table.limited_rates();
+        let by_rate_ms = rates.map_or(0.0, |(own, _)| queued / own * 1_000.0);
+        let ms = by_slots_ms.max(by_rate_ms) as u64;
         ms.clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS)
     }
 
--- a/crates/vanillakeel/src/router/state.rs
+++ b/crates/vanillakeel/src/router/state.rs
@@ -19,6 +19,10 @@
         PendingRequest,
         RetryDecision, //
     },
+    division::{
+        self,
+        Roster, //
+    },
     order::Random,
     routing,
     share,
@@ -128,7 +132,9 @@
     pub(super) counts: Counts,
     pub(super) last_attempt: u64,
     /// Names of the live instances, including this one, in ascending order.
-    peers: Vec<Arc<str>>,
+    pub(super) peers: Vec<Arc<str>>,
+    /// Instances among which the rates of upstreams are divided.
+    pub(super) roster: Roster,
 }
 
 impl Router {
@@ -146,6 +152,7 @@
             counts: Counts::default(),
             last_attempt: 0,
             peers: vec![Arc::from(me)],
+            roster: Roster::new(me, division::Settings::default()),
         }
     }
 
@@ -201,6 +208,7 @@
         self.peers.push(Arc::clone(&self.me));
         self.peers.sort();
         self.peers.dedup();
+        self.roster.on_list_read();
         for pool in &mut self.pools {
             pool.needs_regroup = true;
         }
@@ -269,6 +277,15 @@
             self.refuse(id, Refusal::new(Verdict::NotRun, Reason::NoUpstream));
             return;
         }
+        if let Some(retry_after_ms) = self.pools[pool_index].table.without_part_ms() {
+            self.counts.refused += 1;
+            let refusal = Refusal {
+                retry_after_ms,
+                ..Refusal::new(Verdict::NotRun, Reason::RateLimited)
+            };
+            self.refuse(id, refusal);
+            return;
+        }
         let first_token_ms = self.pools[pool_index].table.first_token_ms();
         self.pools[pool_index]
             .queue
--- a/crates/vanillakeel/src/routing.rs
+++ b/crates/vanillakeel/src/routing.rs
@@ -7,7 +7,8 @@
 //! flight, the last load report with its age, the time per decode step relative to the pool's
 //! median, and hints on which prompt prefixes an upstream has cached. Upstreams that fail or
 //! straggle are ejected and probed with a single request before they return. Only a bounded
-//! fraction of a pool is ejected for straggling at the same time.
+//! fraction of a pool is ejected for straggling at the same time. An upstream that names a
+//! [rate limit](crate::rate_limits) is selected only while it has room.
 //!
 //! ```
 //! use vanillakeel::{order::Random, routing::{Settings, Table}, Millis, Request};
@@ -20,14 +21,18 @@
 //! ```
 
 mod health;
+mod limited;
 mod prefix;
 mod step_times;
 mod table;
 
-pub(crate) use self::health::Health;
 pub use self::table::{
     LoadReport,
     Settings,
     Strategy,
     Table, //
 };
+pub(crate) use self::{
+    health::Health,
+    limited::ChangedRate, //
+};
--- /dev/null
+++ b/crates/vanillakeel/src/routing/limited.rs
@@ -0,0 +1,105 @@
+//! Upstreams of a pool that name [rate limits](crate::rate_limits).
+
+use super::table::Table;
+use crate::{
+    Millis,
+    division::Roster,
+    rate_limits::{
+        Rate,
+        RateLimit,
+        ToldRate, //
+    },
+};
+use std::sync::Arc;
+
+/// A change of an upstream's rate: its name, and the rate that it named before.
+pub(crate) type ChangedRate = (Arc<str>, Option<Rate>);
+
+impl Table {
+    /// Records the rate that the head of an answer names, if it names one; returns what has changed.
+    ///
+    /// `sent` is the time at which the request was sent.
+    pub(crate) fn on_rate_answer(
+        &mut self,
+        now: Millis,
+        upstream: &str,
+        sent: Millis,
+        rate: Option<Rate>,
+        roster: &Roster,
+    ) -> Option<ChangedRate> {
+        let index = self.find(upstream)?;
+        self.update(now, index, roster, |limit| limit.on_answer(now, sent, rate))
+    }
+
+    /// Applies what another instance tells of the rate of an upstream; returns what has changed.
+    pub(crate) fn on_told_rate(
+        &mut self,
+        now: Millis,
+        told: &ToldRate,
+        roster: &Roster,
+    ) -> Option<ChangedRate> {
+        let mut limits = self.rate_limits();
+        let index = limits.position(|limit| limit.id() == told.upstream)?;
+        drop(limits);
+        self.update(now, index, roster, |limit| limit.on_told(now, told))
+    }
+
+    fn update(
+        &mut self,
+        now: Millis,
+        index: usize,
+        roster: &Roster,
+        update: impl FnOnce(&mut RateLimit) -> bool,
+    ) -> Option<ChangedRate> {
+        let upstream = &mut self.upstreams_mut()[index];
+        let previous = upstream.rate_limit.rate();
+        let has_changed = update(&mut upstream.rate_limit);
+        upstream.rate_limit.divide(now, roster);
+        has_changed.then(|| (Arc::clone(&upstream.name), previous))
+    }
+
+    /// Works out anew which part of each rate this instance may use.
+    pub(crate) fn divide_rates(&mut self, now: Millis, roster: &Roster) {
+        for upstream in self.upstreams_mut() {
+            upstream.rate_limit.divide(now, roster);
+        }
+    }
+
+    pub(crate) fn rate_limits(&self) -> impl Iterator<Item = &RateLimit> {
+        self.upstreams().iter().map(|u| &u.rate_limit)
+    }
+
+    /// Returns the rate limit of an upstream.
+    pub(crate) fn rate_limit(&self, upstream: &str) -> Option<&RateLimit> {
+        let index = self.find(upstream)?;
+        Some(&self.upstreams()[index].rate_limit)
+    }
+
+    /// Returns whether an upstream of the own group has room under its rate limit.
+    pub(crate) fn has_rate_room(&self, now: Millis) -> bool {
+        let mut usable = self
+            .upstreams()
+            .iter()
+            .filter(|u| !u.leaving && !u.is_in_other_group);
+        usable.any(|u| u.rate_limit.has_room(now))
+    }
+
+    /// Returns the requests a second that this instance may send, and all of them, if every upstream names a
+    /// limit.
+    pub(crate) fn limited_rates(&self) -> Option<(f64, f64)> {
+        let mut rates = None;
+        for upstream in self.upstreams().iter().filter(|u| !u.leaving) {
+            let limit = &upstream.rate_limit;
+            let rate = limit.rate()?.per_second();
+            let (own, all) = rates.unwrap_or((0.0, 0.0));
+            rates = Some((own + limit.part().per_second, all + rate));
+        }
+        rates
+    }
+
+    /// Returns the time after which some instance has room, in ms, if no upstream takes requests from this one.
+    pub(crate) fn without_part_ms(&self) -> Option<u64> {
+        let (own, all) = self.limited_rates()?;
+        (own == 0.0).then(|| (1_000.0 / all).ceil() as u64)
+    }
+}
--- a/crates/vanillakeel/src/routing/table.rs
+++ b/crates/vanillakeel/src/routing/table.rs
@@ -8,9 +8,11 @@
 use crate::{
     Millis, Request,
     order::{
+        self,
         Random,
         weight, //
     },
+    rate_limits::RateLimit,
     subset,
 };
 use std::sync::Arc;
@@ -80,8 +82,8 @@
 }
 
 #[derive(Clone, Debug)]
-struct Upstream {
-    name: Arc<str>,
+pub(super) struct Upstream {
+    pub(super) name: Arc<str>,
     data_centre: Arc<str>,
     slots: u32,
     in_flight: u32,
@@ -90,9 +92,10 @@
     step_times: StepTimes,
     health: Health,
     prefix_hints: PrefixHints,
-    leaving: bool,
+    pub(super) rate_limit: RateLimit,
+    pub(super) leaving: bool,
     /// Whether the upstream belongs to another group than this instance.
-    is_in_other_group: bool,
+    pub(super) is_in_other_group: bool,
 }
 
 impl Upstream {
@@ -130,7 +133,15 @@
         }
     }
 
-    fn find(&self, name: &str) -> Option<usize> {
+    pub(super) fn upstreams(&self) -> &[Upstream] {
+        &self.upstreams
+    }
+
+    pub(super) const fn upstreams_mut(&mut self) -> &mut Vec<Upstream> {
+        &mut self.upstreams
+    }
+
+    pub(super) fn find(&self, name: &str) -> Option<usize> {
         self.upstreams
             .binary_search_by(|u| (*u.name).cmp(name))
             .ok()
@@ -154,6 +165,7 @@
                     step_times: StepTimes::default(),
                     health: Health::default(),
                     prefix_hints: PrefixHints::default(),
+                    rate_limit: RateLimit::new(order::hash(name) as u32),
                     leaving: false,
                     is_in_other_group: false,
                 },
@@ -327,7 +339,8 @@
         let has_room = |index: &usize| {
             let u = &self.upstreams[*index];
             let limit = u.health.max_in_flight(now).min(max_per_upstream);
-            u.is_in_other_group == is_in_other_group && !u.leaving && u.in_flight < limit
+            let is_below_limits = u.in_flight < limit && u.rate_limit.has_room(now);
+            u.is_in_other_group == is_in_other_group && !u.leaving && is_below_limits
         };
         let with_room: Vec<usize> = (0..self.upstreams.len()).filter(has_room).collect();
         let untried: Vec<usize> = with_room
@@ -417,10 +430,11 @@
     }
 
     /// Records that a request is sent to an upstream.
-    pub fn on_send(&mut self, name: &str) {
+    pub fn on_send(&mut self, now: Millis, name: &str) {
         if let Some(index) = self.find(name) {
             self.upstreams[index].in_flight += 1;
             self.upstreams[index].health.on_send();
+            self.upstreams[index].rate_limit.on_send(now);
         }
     }
 
--- a/crates/vanillakeel/src/verdict.rs
+++ b/crates/vanillakeel/src/verdict.rs
@@ -63,6 +63,8 @@
 pub enum Reason {
     /// the pool's queue is full and nothing of a lower tier is queued
     QueueFull,
+    /// the upstreams take no requests from this instance by the rates that they name
+    RateLimited,
     /// a request of a higher tier took the place in the queue
     Shed,
     /// the deadline passed before the request was sent
@@ -93,6 +95,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::QueueFull => "queue_full",
+            Self::RateLimited => "rate_limited",
             Self::Shed => "shed",
             Self::DeadlineBeforeSend => "deadline_before_send",
             Self::DeadlineAfterSend => "deadline_after_send",
@@ -111,7 +114,7 @@
     #[must_use]
     pub const fn status(self) -> u16 {
         match self {
-            Self::QueueFull | Self::Shed => 429,
+            Self::QueueFull | Self::RateLimited | Self::Shed => 429,
             Self::DeadlineBeforeSend | Self::DeadlineAfterSend => 504,
             Self::UpstreamFailed | Self::RetriesSpent | Self::UpstreamRefused => 502,
             Self::NoUpstream | Self::ClaimUnavailable | Self::Stopping => 503,
