--- a/crates/vanillakeel-ctl/src/explain.rs
+++ b/crates/vanillakeel-ctl/src/explain.rs
@@ -28,11 +28,14 @@
 ];
 
 /// Messages about changes at an instance that may explain how a request went.
-const STATE_MESSAGES: [&str; 10] = [
+const STATE_MESSAGES: [&str; 13] = [
     "upstream listed",
     "upstream gone",
     "upstream could not be reached",
     "upstream ejected",
+    "rate limit named",
+    "rate limit changed",
+    "rate limit ended",
     "newer configuration announced",
     "configuration in force",
     "configuration confirmed again",
