fix: a request waits for a version that is being read

Callers of an instance that was reading a large version were refused as stale, at every rank, while others began less urgent requests. It now waits up to 600 ms, at most a quarter of the caller's time.

Ruled out: a wait by rank. A target tells how soon an answer is due, not how urgent it is, and longer targets would let less urgent requests wait longer.

--- a/crates/vanillakeel-entry/src/gateway/request.rs
+++ b/crates/vanillakeel-entry/src/gateway/request.rs
@@ -274,7 +274,9 @@
     }
     // The body may have taken long to arrive, so the table in force now is used, not that of the
     // arrival.
-    let table = shared.usable_table().await?;
+    let table = shared
+        .usable_table(caller_ms(shared, &parts.headers))
+        .await?;
     let mut request = route_request(shared, &table, arrived, parts, body)?;
     *routed = Some(request.facts());
     shared.on_request(&request.service);
@@ -282,6 +284,13 @@
     exchange::forward(shared, request).await
 }
 
+/// Returns the time for which the caller waits for an answer, in ms, or the longest one if it does not say.
+fn caller_ms(shared: &Shared, headers: &HeaderMap) -> u64 {
+    let value = headers::str_value(headers, &shared.header_names.deadline_ms);
+    let ms = value.and_then(|v| v.trim().parse().ok());
+    ms.unwrap_or(u64::MAX)
+}
+
 /// Returns whether the instance has been stopping for so long that a new request could not end
 /// before the process exits.
 fn is_past_request_cutoff(shared: &Shared) -> bool {
--- a/crates/vanillakeel-entry/src/gateway/shared.rs
+++ b/crates/vanillakeel-entry/src/gateway/shared.rs
@@ -86,9 +86,12 @@
 /// log, in ms.
 const ALL_STALE_RETRY_MS: u64 = 1_000;
 
-/// Longest wait of a request for a confirmation of the version in force, in ms: a few round trips to
-/// the log, for example after a pause of the process.
-const MAX_UNCONFIRMED_WAIT_MS: u64 = 100;
+/// Longest wait of a request for a confirmation of the version in force, in ms. A large version takes longer
+/// to read by about as much than the version in force counts as the newest.
+const MAX_UNCONFIRMED_WAIT_MS: u64 = 600;
+
+/// Part of the time that a caller waits, as a divisor, for which a request waits for a confirmation at most.
+const UNCONFIRMED_WAIT_DIVISOR: u64 = 4;
 
 /// Time for which software versions that have served are remembered, in ms: longer than a stream lives.
 const VERSION_REMEMBERED_MS: u64 = 600_000;
@@ -372,14 +375,17 @@
         self.standing_changed.notify_waiters();
     }
 
-    /// Returns the version in force as soon as it may be used for a request.
+    /// Returns the version in force as soon as it may be used for a request whose caller waits for
+    /// `caller_ms`.
     ///
     /// # Errors
     ///
     /// Returns a refusal if no version is known, if the one in force is superseded while other
-    /// instances have a confirmed one, or if it stays unconfirmed for [`MAX_UNCONFIRMED_WAIT_MS`].
-    pub(super) async fn usable_table(&self) -> Result<Rc<Table>, Refusal> {
+    /// instances have a confirmed one, or if it stays unconfirmed for [`MAX_UNCONFIRMED_WAIT_MS`] or a part
+    /// of `caller_ms`.
+    pub(super) async fn usable_table(&self, caller_ms: u64) -> Result<Rc<Table>, Refusal> {
         let start = self.clock.now();
+        let max_wait_ms = (caller_ms / UNCONFIRMED_WAIT_DIVISOR).min(MAX_UNCONFIRMED_WAIT_MS);
         loop {
             let now = self.clock.now();
             {
@@ -395,7 +401,7 @@
                     Standing::Unconfirmed => {}
                 }
             }
-            let left_ms = MAX_UNCONFIRMED_WAIT_MS.saturating_sub(now.since(start));
+            let left_ms = max_wait_ms.saturating_sub(now.since(start));
             let changed = self.standing_changed.notified();
             if timeout(Duration::from_millis(left_ms), changed)
                 .await
