fix: parts of rates beside hubs of an earlier version

A member hears its hub only; the others it knows from the hub's list, which an earlier version does not send. After 60 s it would take itself for one of two instances and hold parts that others hold, too. While the hub reports more instances than the roster has, all parts are equal.

divided_parts::incomplete_roster states it; without the reported number such an instance holds the whole rate.

--- a/crates/vanillakeel-entry/src/gateway/rate_limits.rs
+++ b/crates/vanillakeel-entry/src/gateway/rate_limits.rs
@@ -126,6 +126,7 @@
 pub(super) fn divide(shared: &Shared, now: Millis) {
     let mut roster = shared.roster.borrow_mut();
     roster.tick(now);
+    roster.set_reported(shared.mesh.borrow().instances(now).unwrap_or(0));
     let totals = shared.fleet.borrow_mut().divide_rates(now, &roster);
     let metrics = &shared.metrics;
     metrics.limited_upstreams.set(i64::from(totals.upstreams));
--- a/crates/vanillakeel/src/division/roster.rs
+++ b/crates/vanillakeel/src/division/roster.rs
@@ -71,6 +71,8 @@
     /// Whether the list of instances has been read, before which this instance has no part.
     has_list: bool,
     last_tick: Option<Millis>,
+    /// Number of live instances that a hub reports, including this one.
+    reported: u32,
     /// The other instances, sorted by id.
     others: Vec<Entry>,
 }
@@ -91,6 +93,7 @@
             fixed: None,
             has_list: false,
             last_tick: None,
+            reported: 0,
             others: Vec::new(),
         }
     }
@@ -163,6 +166,13 @@
             .retain(|e| now.since(e.heard) < cfg.silent_ttl_ms);
     }
 
+    /// Sets the number of live instances that is known from elsewhere, including this one.
+    ///
+    /// While the roster holds fewer, since a hub of an earlier version sends no lists, all have equal parts.
+    pub const fn set_reported(&mut self, instances: u32) {
+        self.reported = instances;
+    }
+
     /// Returns the list of instances that is due for another one; empty if it was sent one lately.
     pub fn list_for(&mut self, now: Millis, id: u32, scope: Scope) -> Vec<u32> {
         let cfg = self.settings;
@@ -195,13 +205,15 @@
     /// The rate goes to as many instances as it has requests a second, rounded up; the others have no part.
     #[must_use]
     pub fn rate_part(&self, key: u32, rate: Rate) -> RatePart {
-        let instances = self.instances();
-        let holders = if self.fixed.is_some() {
+        let known = self.instances();
+        let instances = known.max(self.reported);
+        let are_equal = self.fixed.is_some() || known < instances;
+        let holders = if are_equal {
             instances
         } else {
             (rate.per_second().ceil() as u32).clamp(1, instances)
         };
-        let is_holder = self.fixed.is_some() || self.position(key) < holders;
+        let is_holder = are_equal || self.position(key) < holders;
         let per_second = if self.has_list && is_holder {
             rate.per_second() / f64::from(holders)
         } else {
--- a/crates/vanillakeel/tests/divided_parts.rs
+++ b/crates/vanillakeel/tests/divided_parts.rs
@@ -111,6 +111,19 @@
     assert_eq!(roster.instances(), 1);
 }
 
+/// Guards against an instance whose hub sends no lists, which takes those that it does not know for none.
+#[test]
+fn incomplete_roster() {
+    let mut roster = Roster::new("a", Settings::default());
+    roster.on_list_read();
+    roster.set_reported(8);
+    let part = roster.rate_part(1, rate(2.0));
+    assert_eq!((part.per_second, part.holders), (0.25, 8));
+    let ids: Vec<_> = (1..8).map(|n| instance_id(&name(n))).collect();
+    roster.on_heard(START, &ids);
+    assert_eq!(roster.rate_part(1, rate(2.0)).holders, 2);
+}
+
 /// Guards against lists that keep each other alive: what is passed on to other data centres was heard directly.
 #[test]
 fn passed_on_lists() {
