feat: rates of many upstreams, and high rates

More than 64 limits at a time: those seen last were told again and again, the others never; now these take turns. A bucket holds what its part refills in a quarter of a second, if that is more than one and a half requests, so that a part of 40 a second is not lost when ten requests arrive together. The bound over four seconds still holds: a quarter of the rate more is below the half that it leaves.

--- a/crates/vanillakeel/src/rate_limits/bucket.rs
+++ b/crates/vanillakeel/src/rate_limits/bucket.rs
@@ -2,8 +2,11 @@
 
 use crate::Millis;
 
-/// Most requests that can accumulate.
-const CAPACITY: f64 = 1.5;
+/// Most requests that can accumulate at low rates.
+const MIN_CAPACITY: f64 = 1.5;
+
+/// Time at whose rate requests can accumulate, in seconds.
+const CAPACITY_S: f64 = 0.25;
 
 /// Requests that may be sent, refilled with time; it starts empty.
 #[derive(Clone, Copy, Debug, Default)]
@@ -42,6 +45,7 @@
 
     fn tokens_at(&self, now: Millis) -> f64 {
         let refilled = self.per_second * now.since(self.updated) as f64 / 1_000.0;
-        (self.tokens + refilled).min(CAPACITY)
+        let capacity = (self.per_second * CAPACITY_S).max(MIN_CAPACITY);
+        (self.tokens + refilled).min(capacity)
     }
 }
--- a/crates/vanillakeel/src/rate_limits/state.rs
+++ b/crates/vanillakeel/src/rate_limits/state.rs
@@ -20,9 +20,12 @@
 /// Time for which the end of a limit is told to other instances, in ms.
 const END_TOLD_MS: u64 = 10_000;
 
-/// Most rate limits that are told at a time.
+/// Most rate limits that are told at a time: those seen last, and as many of the others in turn.
 const MAX_TOLD: usize = 64;
 
+/// Time after which the next ones of the others are told, in ms.
+const TOLD_TURN_MS: u64 = 100;
+
 /// What an instance tells others of the rate limit of an upstream. All times are ages, as their clocks differ.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ToldRate {
@@ -73,11 +76,19 @@
     }
 }
 
-/// Returns what other instances should know of several upstreams: a bounded number, those seen last.
+/// Returns what other instances should know of several upstreams: a bounded number at a time.
 #[must_use]
 pub fn told_rates<'a>(limits: impl Iterator<Item = &'a RateLimit>, now: Millis) -> Vec<ToldRate> {
     let mut told: Vec<_> = limits.filter_map(|l| l.told(now)).collect();
-    told.sort_by_key(|t| t.seen_age_ms);
+    if told.len() <= MAX_TOLD {
+        return told;
+    }
+    told.sort_by_key(|t| (t.seen_age_ms, t.upstream));
+    let others = &mut told[MAX_TOLD / 2..];
+    others.sort_by_key(|t| t.upstream);
+    let turn = now.get() / TOLD_TURN_MS;
+    let first = turn as usize * (MAX_TOLD / 2) % others.len();
+    others.rotate_left(first);
     told.truncate(MAX_TOLD);
     told
 }
--- a/crates/vanillakeel/tests/rate_limits.rs
+++ b/crates/vanillakeel/tests/rate_limits.rs
@@ -6,7 +6,8 @@
     division::RatePart,
     rate_limits::{
         Rate,
-        RateLimit, //
+        RateLimit,
+        told_rates, //
     },
 };
 
@@ -111,8 +112,9 @@
 #[case::at_once(0, 2.0, 0)]
 #[case::half_a_second(500, 2.0, 1)]
 #[case::long_after(60_000, 2.0, 1)]
+#[case::high_part(60_000, 40.0, 10)]
 #[case::no_part(60_000, 0.0, 0)]
-fn bucket_holds_one(#[case] after_ms: u64, #[case] per_second: f64, #[case] expected: usize) {
+fn bucket_holds_little(#[case] after_ms: u64, #[case] per_second: f64, #[case] expected: usize) {
     let mut limit = RateLimit::new(1);
     limit.on_answer(START, START, rate(2.0));
     limit.set_part(START, part(per_second));
@@ -148,6 +150,25 @@
     assert!((45..=51).contains(&sent), "{sent}");
 }
 
+/// Guards against limits that are never told since many others are told again and again.
+#[test]
+fn many_told_in_turn() {
+    let mut limits: Vec<RateLimit> = (0..400).map(RateLimit::new).collect();
+    for limit in &mut limits {
+        limit.on_answer(START, START, rate(2.0));
+    }
+    let mut told: Vec<u32> = Vec::new();
+    for turn in 0..20 {
+        let now = START.plus(turn * 100);
+        let at_once = told_rates(limits.iter(), now);
+        assert_eq!(at_once.len(), 64);
+        told.extend(at_once.iter().map(|t| t.upstream));
+    }
+    told.sort_unstable();
+    told.dedup();
+    assert_eq!(told.len(), 400);
+}
+
 /// Guards against an upstream that can't be used for good: the wait is the truth.
 #[test]
 fn wait_ends() {
