fix: no wait for room at an instance without a part

A request that found no room waited for as long as it takes until some instance has room, although this one never would. It is refused at once now. limited_choice::no_wait_without_part states it.

--- a/crates/vanillakeel-entry/src/gateway.rs
+++ b/crates/vanillakeel-entry/src/gateway.rs
@@ -19,6 +19,7 @@
 
 mod accept;
 mod answer;
+mod answer_head;
 mod call;
 mod client;
 mod crashes;
--- a/crates/vanillakeel-entry/src/gateway/exchange.rs
+++ b/crates/vanillakeel-entry/src/gateway/exchange.rs
@@ -11,16 +11,15 @@
         Refusal,
         ResponseBody, //
     },
+    answer_head,
     call::Call,
     client::{
         HttpConnection,
         SendError, //
     },
     crashes,
-    framing::BodyFraming,
     headers,
     lines::Kind,
-    rate_limits,
     relayed_events::ResumePoint,
     request::RoutedRequest,
     response::{
@@ -31,12 +30,9 @@
 };
 use bytes::Bytes;
 use http::{
-    HeaderMap,
     HeaderValue,
     Request,
-    Response,
-    StatusCode,
-    header, //
+    Response, //
 };
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -259,11 +255,13 @@
         SendFailure::Overload(_) => false,
         SendFailure::NoConnection => allows_retry,
         SendFailure::NoRoom(no_room) => {
-            let waits = allows_retry && no_room.wait_ms <= remaining_wait_ms(shared, request);
-            if waits {
-                sleep(Duration::from_millis(no_room.wait_ms)).await;
-            }
-            waits
+            let max_wait_ms = remaining_wait_ms(shared, request);
+            let wait_ms = no_room.own_wait_ms().filter(|ms| *ms <= max_wait_ms);
+            let Some(wait_ms) = wait_ms.filter(|_| allows_retry) else {
+                return false;
+            };
+            sleep(Duration::from_millis(wait_ms)).await;
+            true
         }
         SendFailure::NoUpstream => {
             let remaining_ms = remaining_wait_ms(shared, request);
@@ -325,7 +323,7 @@
     let mut has_upstream = shared.fleet.borrow().has_upstream(now, &info);
     if !has_upstream {
         let no_room = shared.fleet.borrow_mut().no_room(now, &info);
-        let wait_ms = no_room.map(|n| n.wait_ms);
+        let wait_ms = no_room.and_then(|n| n.own_wait_ms());
         let Some(wait_ms) = wait_ms.filter(|ms| *ms <= MAX_RESUME_WAIT_MS) else {
             return false;
         };
@@ -356,7 +354,7 @@
 ///
 /// # Errors
 ///
-/// Returns the reason if the request is not sent, or if no head arrives that [`check_head`]
+/// Returns the reason if the request is not sent, or if no head arrives that [`answer_head::check`]
 /// accepts.
 pub(super) async fn send(
     shared: &Rc<Shared>,
@@ -401,7 +399,7 @@
         None => Err(SendError::NotSent),
     };
     match sent {
-        Ok(response) => check_head(shared, request, attempts, call, response),
+        Ok(response) => answer_head::check(shared, request, attempts, call, response),
         Err(SendError::NotSent) => {
             attempts.possible_runs -= 1;
             attempts.tried.pop();
@@ -546,65 +544,3 @@
     }
     req
 }
-
-/// Checks that the head of a response belongs to the request and that the upstream ran it.
-///
-/// # Errors
-///
-/// Returns [`SendFailure::Refused`] if the upstream states, by status 421 or the header for it,
-/// that it has not run the request. Returns [`SendFailure::Broken`] if the response does not echo
-/// the request id, has an encoded body, or is a success without the seal by which an upstream marks
-/// a response as its own.
-fn check_head(
-    shared: &Shared,
-    request: &RoutedRequest,
-    attempts: &mut Attempts,
-    mut call: Call,
-    response: Response<Incoming>,
-) -> Result<(Call, Response<Incoming>), SendFailure> {
-    let names = &shared.header_names;
-    let headers = response.headers();
-    let echoed = headers::str_value(headers, &names.request_id);
-    if echoed != Some(&*request.id) {
-        call.finish(CallOutcome::Failed);
-        return Err(SendFailure::Broken("answer to another request"));
-    }
-    call.max_idle_ms = max_idle_ms(shared, headers);
-    call.framing = BodyFraming::of(headers);
-    let is_misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
-    if !is_misdirected {
-        rate_limits::record_head(shared, request, &call, headers);
-    }
-    if is_misdirected || headers.contains_key(&names.not_run) {
-        attempts.possible_runs -= 1;
-        // 421 Misdirected Request: the expected upstream is not at this address any more.
-        if is_misdirected {
-            let mut fleet = shared.fleet.borrow_mut();
-            fleet.on_leaving(&call.pick.name, call.pick.incarnation);
-        }
-        // The body of a refusal is not read, so its connection can't be reused.
-        call.max_idle_ms = None;
-        call.finish(CallOutcome::Refused);
-        return Err(SendFailure::Refused);
-    }
-    let lacks_seal = response.status().is_success() && !headers.contains_key(&names.seal);
-    if lacks_seal || headers.contains_key(header::CONTENT_ENCODING) {
-        call.finish(CallOutcome::Failed);
-        return Err(SendFailure::Broken("answer without its seal"));
-    }
-    Ok((call, response))
-}
-
-/// Returns how long a connection may stay idle after this response and still be reused, in ms.
-///
-/// This is the keep-alive time that the upstream announces, or the default, minus a margin: the
-/// upstream must not close the connection while a new request is on its way. `None` means that the
-/// upstream closes the connection after this response.
-fn max_idle_ms(shared: &Shared, headers: &HeaderMap) -> Option<u64> {
-    if headers::has_connection_close(headers) {
-        return None;
-    }
-    let cfg = shared.settings.borrow().connections;
-    let idle_ms = headers::keep_alive_ms(headers).unwrap_or(cfg.idle_ms);
-    Some(idle_ms.saturating_sub(cfg.margin_ms))
-}
--- a/crates/vanillakeel/src/fleet/limited.rs
+++ b/crates/vanillakeel/src/fleet/limited.rs
@@ -49,6 +49,14 @@
     pub retry_after_ms: u64,
 }
 
+impl NoRoom {
+    /// Returns the time until there is room for this instance, in ms; `None` if it has no part of any rate.
+    #[must_use]
+    pub fn own_wait_ms(&self) -> Option<u64> {
+        (self.own_per_second > 0.0).then_some(self.wait_ms)
+    }
+}
+
 /// Times at which requests of a service found no room last, by rank.
 #[derive(Clone, Debug)]
 pub(super) struct RoomSought {
--- a/crates/vanillakeel/src/router/limits.rs
+++ b/crates/vanillakeel/src/router/limits.rs
@@ -2,7 +2,7 @@
 
 use super::Router;
 use crate::{
-    Millis,
+    Millis, Reason, Refusal, Verdict,
     division::instance_id,
     rate_limits::{
         Rate,
@@ -12,7 +12,10 @@
         ToldRate,
         told_rates, //
     },
-    routing::ChangedRate,
+    routing::{
+        ChangedRate,
+        Table, //
+    },
 };
 use std::sync::Arc;
 
@@ -27,7 +30,7 @@
         sent: Millis,
         rate: Option<Rate>,
     ) -> Option<RateChange> {
-        let pool_index = self.pool_of_upstream(|limits| limits.rate_limit(upstream).is_some())?;
+        let pool_index = self.pool_of_upstream(|table| table.rate_limit(upstream).is_some())?;
         let table = &mut self.pools[pool_index].table;
         let changed = table.on_rate_answer(now, upstream, sent, rate, &self.roster)?;
         Some(self.on_rate_changed(now, pool_index, changed))
@@ -42,7 +45,7 @@
         Some(self.on_rate_changed(now, pool_index, changed))
     }
 
-    fn pool_of_upstream(&self, is_there: impl Fn(&crate::routing::Table) -> bool) -> Option<usize> {
+    fn pool_of_upstream(&self, is_there: impl Fn(&Table) -> bool) -> Option<usize> {
         self.pools.iter().position(|p| is_there(&p.table))
     }
 
@@ -83,6 +86,21 @@
         self.pools.iter().flat_map(|p| p.table.rate_limits())
     }
 
+    /// Refuses a request that has arrived if all upstreams name rates of which this instance has no part;
+    /// returns whether it did.
+    pub(super) fn refuse_without_part(&mut self, pool_index: usize, request: u64) -> bool {
+        let Some(retry_after_ms) = self.pools[pool_index].table.without_part_ms() else {
+            return false;
+        };
+        self.counts.refused += 1;
+        let refusal = Refusal {
+            retry_after_ms,
+            ..Refusal::new(Verdict::NotRun, Reason::RateLimited)
+        };
+        self.refuse(request, refusal);
+        true
+    }
+
     /// Works out anew which part of each rate this instance may use.
     pub(super) fn divide_rates(&mut self, now: Millis) {
         let live: Vec<u32> = self.peers.iter().map(|p| instance_id(p)).collect();
--- a/crates/vanillakeel/src/router/state.rs
+++ b/crates/vanillakeel/src/router/state.rs
@@ -277,13 +277,7 @@
             self.refuse(id, Refusal::new(Verdict::NotRun, Reason::NoUpstream));
             return;
         }
-        if let Some(retry_after_ms) = self.pools[pool_index].table.without_part_ms() {
-            self.counts.refused += 1;
-            let refusal = Refusal {
-                retry_after_ms,
-                ..Refusal::new(Verdict::NotRun, Reason::RateLimited)
-            };
-            self.refuse(id, refusal);
+        if self.refuse_without_part(pool_index, id) {
             return;
         }
         let first_token_ms = self.pools[pool_index].table.first_token_ms();
--- a/crates/vanillakeel/tests/limited_choice.rs
+++ b/crates/vanillakeel/tests/limited_choice.rs
@@ -128,6 +128,20 @@
     assert!(fleet.choose(START.plus(2_500), &request).is_some());
 }
 
+/// Guards against requests that are held at an instance that will never have room for them.
+#[test]
+fn no_wait_without_part() {
+    let mut fleet = fleet(1, 1);
+    let unread = Roster::new("a", Settings::default());
+    fleet.on_rate_answer(START, &pick_of(0), START, Rate::new(4.0), &unread);
+    let request = ranked_request(&SEGMENTS, 3, 600);
+    let no_room = fleet
+        .no_room(START, &request)
+        .expect("a limit is the reason");
+    assert_eq!(no_room.own_wait_ms(), None);
+    assert_eq!((no_room.wait_ms, no_room.retry_after_ms), (250, 1_000));
+}
+
 /// Guards against a limit that outlives the process that named it, and against one that ends and leaves a
 /// backlog.
 #[test]
