fix: an address that accepts and closes connections is no sign of life

Where a forwarder stands in front of upstreams, connections to a dead one are accepted and closed at once. The check for a crash took an accepted connection for a sign of life unless the next one was refused, so nothing was blamed.

Now three connections that are accepted and closed in order within 20 ms, one after the other, are a crash. One that is reset is not: that is what a process with too many connections does.

--- a/crates/vanillakeel-entry/src/gateway/client.rs
+++ b/crates/vanillakeel-entry/src/gateway/client.rs
@@ -16,8 +16,10 @@
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use std::{
+    cell::Cell,
     io,
     net::SocketAddr,
+    rc::Rc,
     time::Duration, //
 };
 use tokio::{
@@ -51,11 +53,21 @@
 
 impl std::error::Error for SendError {}
 
+/// How a connection has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionEnd {
+    /// The other side has closed it in order.
+    Closed,
+    /// It was reset, or failed in another way.
+    Failed,
+}
+
 /// A connection that carries one request at a time.
 #[derive(Debug)]
 pub struct HttpConnection {
     tx: http1::SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
+    end: Rc<Cell<Option<ConnectionEnd>>>,
 }
 
 impl Drop for HttpConnection {
@@ -82,11 +94,24 @@
             .handshake(TokioIo::new(stream))
             .await
             .map_err(io::Error::other)?;
+        let end = Rc::new(Cell::new(None));
+        let recorded = Rc::clone(&end);
         let task = tokio::task::spawn_local(async move {
             // An error of the connection also reaches the caller of `send`.
-            let _ = connection.await;
+            let end = match connection.await {
+                Ok(()) => ConnectionEnd::Closed,
+                Err(e) if e.is_incomplete_message() => ConnectionEnd::Closed,
+                Err(_) => ConnectionEnd::Failed,
+            };
+            recorded.set(Some(end));
         });
-        Ok(Self { tx, task })
+        Ok(Self { tx, task, end })
+    }
+
+    /// Returns how the connection has ended, or `None` while it is open.
+    #[must_use]
+    pub fn end(&self) -> Option<ConnectionEnd> {
+        self.end.get()
     }
 
     /// Returns whether a request can be sent now.
--- a/crates/vanillakeel-entry/src/gateway/crashes.rs
+++ b/crates/vanillakeel-entry/src/gateway/crashes.rs
@@ -1,8 +1,8 @@
 //! Detection of crashed upstreams, and of the prompt segments that crash them.
 //!
 //! A call that breaks off does not show whether its upstream has crashed, spoiled one answer or lost one
-//! connection. [`record_broken`] finds out by a new connection: the process has crashed if it is listed as
-//! live and nothing listens at its address. Calls that break off at the same time share one check.
+//! connection. [`record_broken`] finds out by new connections: the process has crashed if it is listed as live and
+//! nothing listens at its address, or each connection is accepted and closed at once. Calls that break off at the same time share one check.
 //!
 //! ```ignore
 //! let has_crashed = crashes::record_broken(shared, request, call.pick, call.answered_ms()).await;
@@ -10,7 +10,10 @@
 
 use super::{
     answer::Refusal,
-    client::HttpConnection,
+    client::{
+        ConnectionEnd,
+        HttpConnection, //
+    },
     lines::Kind,
     request::RoutedRequest,
     shared::Shared, //
@@ -44,9 +47,14 @@
 /// Time limit for the connection by which a crash of an upstream is ruled out, in ms.
 const CRASH_CHECK_MS: u64 = 200;
 
-/// Time within which a process that is ending closes a new connection, in ms.
+/// Time within which a process that is ending, or a forwarder in front of a dead one, closes a new connection, in
+/// ms.
 const ENDING_MS: u64 = 20;
 
+/// Connections that are accepted and closed, one after the other, after which nothing is taken to answer at an
+/// address.
+const MAX_CLOSED: u32 = 3;
+
 /// Time for which a crash that was found holds for further calls of the same process, in ms.
 const RESULT_TTL_MS: u64 = 1_000;
 
@@ -108,17 +116,27 @@
     check
 }
 
-/// Returns whether an upstream refuses connections, or ends while one is being opened.
+/// Returns whether an upstream refuses connections, or closes each one that it accepts.
+///
+/// A process that is ending may still have had a queue for new connections, and a forwarder in front of a dead one
+/// accepts them and closes each at once. A process with too many connections resets them instead.
 async fn refuses_connections(shared: &Shared, pick: &Pick) -> bool {
-    match open(shared, pick).await {
-        Some(Ok(connection)) => {
-            // A process that is ending may still have had a queue for new connections.
-            sleep(Duration::from_millis(ENDING_MS)).await;
-            connection.is_closed() && refuses_connection(shared, pick).await
+    for _ in 0..MAX_CLOSED {
+        let connection = match open(shared, pick).await {
+            Some(Ok(connection)) => connection,
+            Some(Err(e)) => {
+                return e.kind() == io::ErrorKind::ConnectionRefused && is_live(shared, pick);
+            }
+            None => return false,
+        };
+        sleep(Duration::from_millis(ENDING_MS)).await;
+        match connection.end() {
+            Some(ConnectionEnd::Closed) => {}
+            Some(ConnectionEnd::Failed) => return refuses_connection(shared, pick).await,
+            None => return false,
         }
-        Some(Err(e)) => e.kind() == io::ErrorKind::ConnectionRefused && is_live(shared, pick),
-        None => false,
     }
+    is_live(shared, pick)
 }
 
 /// Returns whether an upstream is listed as live but refuses a new connection.
