--- a/crates/vanillakeel-entry/src/upstream.rs
+++ b/crates/vanillakeel-entry/src/upstream.rs
@@ -119,11 +119,10 @@
         attempt: attempt.id,
         rate: Rate::lowest_of(named.map(|value| value.as_bytes())),
     });
-    match answer {
-        answer if upstream_request.is_model => {
-            read_model_answer(attempt, upstream_request, answer, tx)
-        }
-        answer => read_plain_answer(attempt, upstream_request, answer, tx),
+    if upstream_request.is_model {
+        read_model_answer(attempt, upstream_request, answer, tx)
+    } else {
+        read_plain_answer(attempt, upstream_request, answer, tx)
     }
 }
 
--- a/crates/vanillakeel/src/router/limits.rs
+++ b/crates/vanillakeel/src/router/limits.rs
@@ -54,16 +54,16 @@
         &mut self,
         now: Millis,
         pool_index: usize,
-        (upstream, previous): ChangedRate,
+        changed: ChangedRate,
     ) -> RateChange {
         self.dispatch(now, pool_index);
         let pool = &self.pools[pool_index];
-        let limit = pool.table.rate_limit(&upstream);
+        let limit = pool.table.rate_limit(&changed.upstream);
         RateChange {
             rate: limit.and_then(RateLimit::rate),
             part: limit.map(RateLimit::part).unwrap_or_default(),
-            previous,
-            upstream,
+            previous: changed.previous,
+            upstream: changed.upstream,
             service: Arc::clone(&pool.name),
         }
     }
--- a/crates/vanillakeel/src/routing/limited.rs
+++ b/crates/vanillakeel/src/routing/limited.rs
@@ -12,8 +12,12 @@
 };
 use std::sync::Arc;
 
-/// A change of an upstream's rate: its name, and the rate that it named before.
-pub(crate) type ChangedRate = (Arc<str>, Option<Rate>);
+/// An upstream that names another rate than before.
+pub(crate) struct ChangedRate {
+    pub(crate) upstream: Arc<str>,
+    /// Rate that it named before.
+    pub(crate) previous: Option<Rate>,
+}
 
 impl Table {
     /// Records the rate that the head of an answer names, if it names one; returns what has changed.
@@ -55,7 +59,10 @@
         let previous = upstream.rate_limit.rate();
         let has_changed = update(&mut upstream.rate_limit);
         upstream.rate_limit.divide(now, roster);
-        has_changed.then(|| (Arc::clone(&upstream.name), previous))
+        has_changed.then(|| ChangedRate {
+            upstream: Arc::clone(&upstream.name),
+            previous,
+        })
     }
 
     /// Works out anew which part of each rate this instance may use.
