feat: upstreams that say that they leave, or want no requests for a while

New slice vanillakeel::availability, wired by gateway/notices. Leaving is final for a process; a pause ends with one request that tests whether the upstream takes more. Refusals by such upstreams are limited by the retry budget, not in number. If all want a pause, the refusal says so at once, with the time of the first end.

Ruled out: telling peers of a leaving upstream (docs/design/availability.md), and counting what an upstream has said as a difference between two views of the list, by which an instance would read the log itself.

--- a/crates/vanillakeel-bench/src/faults/restored_list.rs
+++ b/crates/vanillakeel-bench/src/faults/restored_list.rs
@@ -365,7 +365,7 @@
             let upstream = self.fleet.iter().find(|u| u.name == name(number)).cloned();
             if let Some(upstream) = upstream {
                 self.removed.on_removed(at, &upstream);
-                self.fleet.on_removed(&upstream.name);
+                self.fleet.on_removed(at, &upstream.name);
                 removed.push((number, upstream.incarnation));
             }
         }
--- a/crates/vanillakeel-ctl/src/explain.rs
+++ b/crates/vanillakeel-ctl/src/explain.rs
@@ -28,11 +28,14 @@
 ];
 
 /// Messages about changes at an instance that may explain how a request went.
-const STATE_MESSAGES: [&str; 13] = [
+const STATE_MESSAGES: [&str; 16] = [
     "upstream listed",
     "upstream gone",
     "upstream could not be reached",
     "upstream ejected",
+    "upstream says that it leaves",
+    "upstream wants a pause",
+    "upstream takes requests after its pause",
     "rate limit named",
     "rate limit changed",
     "rate limit ended",
--- a/crates/vanillakeel-entry/src/gateway.rs
+++ b/crates/vanillakeel-entry/src/gateway.rs
@@ -33,6 +33,7 @@
 mod log_reads;
 mod mesh_wire;
 mod metrics;
+mod notices;
 mod operators;
 mod peers;
 mod progress;
--- a/crates/vanillakeel-entry/src/gateway/answer.rs
+++ b/crates/vanillakeel-entry/src/gateway/answer.rs
@@ -91,6 +91,8 @@
     Overload(u64),
     /// upstreams take no more requests by the rates that they name, come back in {0} ms
     RateLimited(u64),
+    /// upstreams want no requests for now, come back in {0} ms
+    Paused(u64),
     /// the time was over before the request was sent
     TooLate,
     /// the instance is stopping
@@ -123,6 +125,7 @@
             Self::Full => "full",
             Self::Overload(_) => "overload",
             Self::RateLimited(_) => "rate_limited",
+            Self::Paused(_) => "paused",
             Self::TooLate => "too_late",
             Self::Stopping => "stopping",
             Self::UnknownStream(_) => "unknown_stream",
@@ -147,6 +150,7 @@
             | Self::Full
             | Self::Overload(_)
             | Self::RateLimited(_)
+            | Self::Paused(_)
             | Self::TooLate
             | Self::Stopping
             | Self::UnknownStream(_)
@@ -173,7 +177,8 @@
             Self::Overload(ms)
             | Self::Stale(ms)
             | Self::Quarantined(ms)
-            | Self::RateLimited(ms) => Some(ms),
+            | Self::RateLimited(ms)
+            | Self::Paused(ms) => Some(ms),
             Self::Stopping => Some(0),
             Self::UnknownStream(ms) => ms,
             _ => None,
--- a/crates/vanillakeel-entry/src/gateway/answer_head.rs
+++ b/crates/vanillakeel-entry/src/gateway/answer_head.rs
@@ -1,7 +1,7 @@
 //! Check of the head of an upstream's answer.
 //!
 //! It tells whether the answer belongs to the request and whether the upstream ran it, and what the head says
-//! of the connection, the framing of the body and the upstream's rate limit.
+//! of the connection, the framing of the body, the upstream's rate limit and whether it takes further requests.
 
 use super::{
     call::Call,
@@ -11,6 +11,7 @@
     },
     framing::BodyFraming,
     headers,
+    notices,
     rate_limits,
     request::RoutedRequest,
     shared::Shared, //
@@ -22,14 +23,17 @@
     header, //
 };
 use hyper::body::Incoming;
-use vanillakeel::fleet::CallOutcome;
+use vanillakeel::{
+    availability::Notice,
+    fleet::CallOutcome, //
+};
 
 /// Checks that the head of a response belongs to the request and that the upstream ran it.
 ///
 /// # Errors
 ///
 /// Returns [`SendFailure::Refused`] if the upstream states, by status 421 or the header for it,
-/// that it has not run the request. Returns [`SendFailure::Broken`] if the response does not echo
+/// that it has not run the request, or [`SendFailure::Withdrawn`] if it adds that it takes no more for now. Returns [`SendFailure::Broken`] if the response does not echo
 /// the request id, has an encoded body, or is a success without the seal by which an upstream marks
 /// a response as its own.
 pub(super) fn check(
@@ -49,9 +53,13 @@
     call.max_idle_ms = max_idle_ms(shared, headers);
     call.framing = BodyFraming::of(headers);
     let is_misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
-    if !is_misdirected {
+    // Status 421 comes from another process, which says nothing of the expected one.
+    let notice = if is_misdirected {
+        Notice::default()
+    } else {
         rate_limits::record_head(shared, request, &call, headers);
-    }
+        notices::record_head(shared, request, &call, &response)
+    };
     if is_misdirected || headers.contains_key(&names.not_run) {
         attempts.possible_runs -= 1;
         // 421 Misdirected Request: the expected upstream is not at this address any more.
@@ -62,7 +70,11 @@
         // The body of a refusal is not read, so its connection can't be reused.
         call.max_idle_ms = None;
         call.finish(CallOutcome::Refused);
-        return Err(SendFailure::Refused);
+        return Err(if notice.is_withdrawn() {
+            SendFailure::Withdrawn
+        } else {
+            SendFailure::Refused
+        });
     }
     let lacks_seal = response.status().is_success() && !headers.contains_key(&names.seal);
     if lacks_seal || headers.contains_key(header::CONTENT_ENCODING) {
--- a/crates/vanillakeel-entry/src/gateway/exchange.rs
+++ b/crates/vanillakeel-entry/src/gateway/exchange.rs
@@ -99,6 +99,10 @@
     ClosedWhileIdle,
     /// the upstream says that it has not run the request
     Refused,
+    /// the upstream says that it has not run the request and takes no more for now
+    Withdrawn,
+    /// the upstream has said to another request that it takes no more for now, nothing was sent
+    WithdrawnBefore,
     /// {0}; the upstream may have run the request
     Broken(&'static str),
 }
@@ -111,6 +115,8 @@
     /// Attempts in which an upstream may have run the request.
     pub(super) possible_runs: u32,
     refusals: u32,
+    /// Refusals by upstreams that take no further requests for now.
+    withdrawals: u32,
     failed_connects: u32,
     /// Upstream that the request was sent to last.
     sent_to: Option<Pick>,
@@ -186,6 +192,9 @@
             _ if attempts.possible_runs > 0 => Refusal::Broken,
             SendFailure::NoUpstream | SendFailure::ConnectFailed => Refusal::NoUpstream,
             SendFailure::Overload(overload) => Refusal::Overload(overload.retry_after_ms),
+            SendFailure::NoRoom(no_room) if no_room.upstreams == 0 => {
+                Refusal::Paused(no_room.retry_after_ms)
+            }
             SendFailure::NoRoom(no_room) => Refusal::RateLimited(no_room.retry_after_ms),
             _ => Refusal::Full,
         });
@@ -241,7 +250,8 @@
 /// A request that may have run is retried only on an idempotent route, while it has attempts left.
 /// If no upstream was available, this waits a short time for the fleet to change. After a refusal
 /// or a broken response, the retry is taken from the retry budget; after a failure before anything
-/// was sent, it is not. A pooled connection that was already closed always allows another attempt,
+/// was sent, it is not. Refusals by upstreams that take no further requests are not limited in number: none of
+/// them is chosen again. A pooled connection that was already closed always allows another attempt,
 /// since nothing was written.
 async fn may_retry(
     shared: &Rc<Shared>,
@@ -251,7 +261,7 @@
 ) -> bool {
     let allows_retry = allows_retry(request, attempts);
     match failure {
-        SendFailure::ClosedWhileIdle => true,
+        SendFailure::ClosedWhileIdle | SendFailure::WithdrawnBefore => true,
         SendFailure::Overload(_) => false,
         SendFailure::NoConnection => allows_retry,
         SendFailure::NoRoom(no_room) => {
@@ -281,6 +291,10 @@
             attempts.refusals += 1;
             allows_retry && attempts.refusals < MAX_REFUSALS && shared.take_retry(request)
         }
+        SendFailure::Withdrawn => {
+            attempts.withdrawals += 1;
+            allows_retry && shared.take_retry(request)
+        }
         SendFailure::Broken(_) => allows_retry && shared.take_retry(request),
     }
 }
@@ -309,7 +323,8 @@
 /// Returns whether an upstream is left that may continue the stream of a request, and takes the retry
 /// from the budget if so.
 ///
-/// If those that are left have no room under their rate limits, this waits until there should be some.
+/// If those that are left have no room under their rate limits or have asked for a pause, this waits until there
+/// should be some.
 pub(super) async fn may_resume(
     shared: &Shared,
     request: &RoutedRequest,
@@ -338,7 +353,7 @@
 ///
 /// # Errors
 ///
-/// Returns whether none may be sent to at all, or none has room under its rate limit.
+/// Returns whether none may be sent to at all, or none has room by what its answers say.
 fn choose(shared: &Shared, now: Millis, info: &RequestInfo<'_>) -> Result<Pick, SendFailure> {
     let mut fleet = shared.fleet.borrow_mut();
     let pick = fleet.choose(now, info);
@@ -366,7 +381,7 @@
     let info = request_info(request, attempts);
     let mut pick = choose(shared, now, &info)?;
     // Admission control applies only until an upstream has received the request.
-    if attempts.possible_runs == 0 && attempts.refusals == 0 {
+    if attempts.possible_runs + attempts.refusals + attempts.withdrawals == 0 {
         let mut fleet = shared.fleet.borrow_mut();
         pick = fleet.admit(now, &info, pick).map_err(|overload| {
             // Less urgent requests leave it the room that limited upstreams will have.
@@ -378,6 +393,10 @@
     let mut call = Call::new(shared, &request.id, pick, in_flight);
     connect(shared, request, attempts, &mut call).await?;
     let now = shared.clock.now();
+    if shared.fleet.borrow().is_withdrawn(now, &call.pick) {
+        call.finish(CallOutcome::Neutral);
+        return Err(SendFailure::WithdrawnBefore);
+    }
     let req = build_request(
         shared,
         request,
--- a/crates/vanillakeel-entry/src/gateway/header_names.rs
+++ b/crates/vanillakeel-entry/src/gateway/header_names.rs
@@ -32,6 +32,8 @@
     pub seal: HeaderName,
     /// Requests a second that an upstream takes from all instances together, set by one in need.
     pub rate_limit: HeaderName,
+    /// Set to `1` by an upstream that leaves, on all its answers.
+    pub leaving: HeaderName,
     /// Id of the request that brought the first event of a stream, set by a caller that takes the stream
     /// up with another request.
     pub resumes: HeaderName,
@@ -54,6 +56,7 @@
             not_run: name("x-not-run"),
             seal: name("x-seal"),
             rate_limit: name("x-rate-limit"),
+            leaving: name("x-leaving"),
             resumes: name("x-resumes"),
             reserved: Vec::new(),
         }
--- a/crates/vanillakeel-entry/src/gateway/metrics.rs
+++ b/crates/vanillakeel-entry/src/gateway/metrics.rs
@@ -76,6 +76,8 @@
     pub(super) bad_datagrams: Counter,
     pub(super) bad_rate_limits: Counter,
     pub(super) limited_sends: Counter,
+    pub(super) pauses: Counter,
+    pub(super) bad_pauses: Counter,
     pub(super) version: Gauge,
     pub(super) log_era: Gauge,
     pub(super) confirmation_age_ms: Gauge,
@@ -84,6 +86,8 @@
     pub(super) quarantined_segments: Gauge,
     pub(super) sharing_instances: Gauge,
     pub(super) limited_upstreams: Gauge,
+    pub(super) paused_upstreams: Gauge,
+    pub(super) leaving_upstreams: Gauge,
     /// Requests a second that all limited upstreams take together.
     pub(super) named_rate: Gauge<f64, AtomicU64>,
     /// The part of it that this instance may use.
@@ -111,6 +115,8 @@
             bad_datagrams: Counter::default(),
             bad_rate_limits: Counter::default(),
             limited_sends: Counter::default(),
+            pauses: Counter::default(),
+            bad_pauses: Counter::default(),
             version: Gauge::default(),
             log_era: Gauge::default(),
             confirmation_age_ms: Gauge::default(),
@@ -119,6 +125,8 @@
             quarantined_segments: Gauge::default(),
             sharing_instances: Gauge::default(),
             limited_upstreams: Gauge::default(),
+            paused_upstreams: Gauge::default(),
+            leaving_upstreams: Gauge::default(),
             named_rate: Gauge::default(),
             own_rate: Gauge::default(),
             covered: Gauge::default(),
@@ -231,6 +239,26 @@
             "Requests sent to upstreams that name a rate limit",
             self.limited_sends.clone(),
         );
+        registry.register(
+            "upstream_pauses",
+            "Pauses that upstreams have asked this instance for",
+            self.pauses.clone(),
+        );
+        registry.register(
+            "bad_upstream_pauses",
+            "Pauses of upstreams that could not be read or are longer than allowed",
+            self.bad_pauses.clone(),
+        );
+        registry.register(
+            "paused_upstreams",
+            "Upstreams that want no requests of this instance for now",
+            self.paused_upstreams.clone(),
+        );
+        registry.register(
+            "leaving_upstreams",
+            "Upstreams that are listed as live and say that they leave",
+            self.leaving_upstreams.clone(),
+        );
         registry.register(
             "rate_limited_upstreams",
             "Upstreams that name a rate limit",
--- a/crates/vanillakeel-entry/src/gateway/settings.rs
+++ b/crates/vanillakeel-entry/src/gateway/settings.rs
@@ -129,6 +129,8 @@
     pub last_request_ms: u64,
     /// Time after SIGTERM within which the process has to exit.
     pub grace_ms: u64,
+    /// Longest time for which an upstream may ask for no requests.
+    pub max_pause_ms: u64,
 }
 
 impl Timing {
@@ -173,6 +175,7 @@
             balancer_delay_ms: 2_500,
             last_request_ms: 2_900,
             grace_ms: 8_000,
+            max_pause_ms: 600_000,
         }
     }
 }
@@ -321,6 +324,9 @@
             let reason = "has to be longer than timing.last_request_ms";
             return fail("timing.grace_ms", reason);
         }
+        if timing.max_pause_ms == 0 {
+            return fail("timing.max_pause_ms", "has to be 1 or more");
+        }
         if timing.revoked_ms <= timing.configuration_wait_ms {
             let reason = "has to be longer than timing.configuration_wait_ms";
             return fail("timing.revoked_ms", reason);
--- a/crates/vanillakeel-entry/src/gateway/shared.rs
+++ b/crates/vanillakeel-entry/src/gateway/shared.rs
@@ -477,9 +477,9 @@
             .find(|u| *u.name == *name)
             .cloned();
         if let Some(listed) = listed {
-            self.fleet.borrow_mut().on_removed(name);
-            tracing::info!(upstream = name, "upstream gone");
             let now = self.clock.now();
+            self.fleet.borrow_mut().on_removed(now, name);
+            tracing::info!(upstream = name, "upstream gone");
             self.removed_upstreams.borrow_mut().on_removed(now, &listed);
             self.record_change(listed, true);
         }
--- a/crates/vanillakeel-entry/src/gateway/watch/upstreams.rs
+++ b/crates/vanillakeel-entry/src/gateway/watch/upstreams.rs
@@ -233,4 +233,13 @@
     pool.close_expired(now, |name, incarnation| fleet.is_live(name, incarnation));
     let count = i64::try_from(fleet.iter().count()).unwrap_or(i64::MAX);
     shared.metrics.upstreams.set(count);
+    let withdrawn = fleet.withdrawn_counts(now);
+    shared
+        .metrics
+        .paused_upstreams
+        .set(i64::from(withdrawn.paused));
+    shared
+        .metrics
+        .leaving_upstreams
+        .set(i64::from(withdrawn.leaving));
 }
--- a/crates/vanillakeel/src/fleet.rs
+++ b/crates/vanillakeel/src/fleet.rs
@@ -7,7 +7,8 @@
 //! [`Fleet::choose`] picks the one with the lowest cost among those that it [visits](choose). The
 //! cost adds up the expected wait there, the prefill or transfer of shared prompt tokens that it does
 //! not have cached, and a surcharge for another data centre.
-//! An upstream that names a [rate limit](crate::rate_limits) is chosen only while it has room.
+//! An upstream that names a [rate limit](crate::rate_limits) is chosen only while it has room, and one that leaves
+//! or asks for a [pause](crate::availability) is not.
 //! [`Fleet::admit`] sheds load before a send. [`Fleet::on_send`], [`Fleet::on_first_event`] and
 //! [`Fleet::on_end`] report the progress of a call. [`MissingUpstreams`] decides when an upstream whose
 //! entry has disappeared from the list is removed, and [`RemovedUpstreams`] whether an entry is out of
@@ -36,6 +37,7 @@
 mod state;
 mod targets;
 mod upstream;
+mod withdrawn;
 
 pub(crate) use self::upstream::RANK_COUNT;
 pub use self::{
@@ -59,4 +61,5 @@
         CallOutcome,
         ListedUpstream, //
     },
+    withdrawn::WithdrawnCounts,
 };
--- a/crates/vanillakeel/src/fleet/groups.rs
+++ b/crates/vanillakeel/src/fleet/groups.rs
@@ -34,8 +34,7 @@
         let group = self.usable_group(now, request);
         if group.is_empty() && request.software.is_some() {
             let of_service = self.of_service(request.service);
-            let may_take =
-                |u: &&Upstream| u.may_run(request) && self.has_rate_room(now, request, u);
+            let may_take = |u: &&Upstream| u.may_run(request) && self.has_room(now, request, u);
             return of_service.filter(may_take).collect();
         }
         group
--- a/crates/vanillakeel/src/fleet/limited.rs
+++ b/crates/vanillakeel/src/fleet/limited.rs
@@ -1,6 +1,7 @@
-//! Upstreams that name [rate limits](crate::rate_limits): who may use what they take.
+//! Upstreams that say how much they take, by [rate limits](crate::rate_limits) or
+//! [pauses](crate::availability): who may use it.
 //!
-//! An upstream without room for this instance is not chosen. Once a request has found no room at the upstreams
+//! An upstream without room for this instance, or that has asked it for a pause, is not chosen. Once a request has found no room at the upstreams
 //! of its service, less urgent ones leave them to those of its rank for a while, so that the more urgent get
 //! what there is.
 
@@ -34,9 +35,11 @@
 /// Time for which less urgent requests leave limited upstreams to those that have found no room there, in ms.
 const STAND_BACK_MS: u64 = 1_000;
 
-/// The upstreams that could take the request have no room: {upstreams} of them take {per_second} requests a second from all instances and {own_per_second} from this one, room is expected in {wait_ms} ms
+/// The upstreams that could take the request have no room: {paused} want none for now, {upstreams} take {per_second} requests a second from all instances and {own_per_second} from this one, room is expected in {wait_ms} ms
 #[derive(Clone, Copy, Debug, PartialEq, displaydoc::Display)]
 pub struct NoRoom {
+    /// Upstreams that could take the request but have asked for a pause.
+    pub paused: u32,
     /// Upstreams that could take the request but for their rate limits.
     pub upstreams: u32,
     /// Requests a second that they take from all instances.
@@ -50,10 +53,11 @@
 }
 
 impl NoRoom {
-    /// Returns the time until there is room for this instance, in ms; `None` if it has no part of any rate.
+    /// Returns the time until there is room for this instance, in ms; `None` if it has no part of any rate and no
+    /// pause ends.
     #[must_use]
     pub fn own_wait_ms(&self) -> Option<u64> {
-        (self.own_per_second > 0.0).then_some(self.wait_ms)
+        (self.own_per_second > 0.0 || self.paused > 0).then_some(self.wait_ms)
     }
 }
 
@@ -65,18 +69,18 @@
 }
 
 impl Fleet {
-    /// Returns whether an upstream may run a request now: it is usable, and has room under its rate limit.
+    /// Returns whether an upstream may run a request now: it is usable, and its answers do not say otherwise.
     pub(super) fn may_take(&self, now: Millis, request: &RequestInfo<'_>, u: &Upstream) -> bool {
-        u.is_usable(now, request) && self.has_rate_room(now, request, u)
+        u.is_usable(now, request) && self.has_room(now, request, u)
     }
 
-    /// Returns whether an upstream has room for a request under its rate limit, if it names one.
-    pub(super) fn has_rate_room(
-        &self,
-        now: Millis,
-        request: &RequestInfo<'_>,
-        u: &Upstream,
-    ) -> bool {
+    /// Returns whether an upstream takes a request by what its answers say: it has not asked for a pause, and has
+    /// room under its rate limit if it names one.
+    pub(super) fn has_room(&self, now: Millis, request: &RequestInfo<'_>, u: &Upstream) -> bool {
+        u.availability.takes_request(now) && self.has_rate_room(now, request, u)
+    }
+
+    fn has_rate_room(&self, now: Millis, request: &RequestInfo<'_>, u: &Upstream) -> bool {
         let limit = &u.rate_limit;
         limit.rate().is_none() || (limit.has_room(now) && self.stand_back_ms(now, request) == 0)
     }
@@ -92,12 +96,13 @@
         last.map_or(0, |at| STAND_BACK_MS.saturating_sub(now.since(*at)))
     }
 
-    /// Returns why no upstream may take a request, if that is because of their rate limits, and keeps their room
-    /// for requests of its rank.
+    /// Returns why no upstream may take a request, if that is because of their rate limits or pauses, and keeps the
+    /// room of limited ones for requests of its rank.
     pub fn no_room(&mut self, now: Millis, request: &RequestInfo<'_>) -> Option<NoRoom> {
         let stand_back_ms = self.stand_back_ms(now, request);
         let min_retry_after_ms = self.settings().min_retry_after_ms;
         let mut found = NoRoom {
+            paused: 0,
             upstreams: 0,
             per_second: 0.0,
             own_per_second: 0.0,
@@ -106,12 +111,19 @@
         };
         let mut service = None;
         for u in self.of_service(request.service) {
-            let Some(rate) = u.rate_limit.rate() else {
+            if !u.is_usable(now, request) || self.has_room(now, request, u) {
                 continue;
-            };
-            if !u.is_usable(now, request) || self.has_rate_room(now, request, u) {
+            }
+            if !u.availability.takes_request(now) {
+                found.paused += 1;
+                // The answer to a test may come at any time.
+                let wait_ms = u.availability.wait_ms(now).unwrap_or(min_retry_after_ms);
+                found.wait_ms = found.wait_ms.min(wait_ms);
                 continue;
             }
+            let Some(rate) = u.rate_limit.rate() else {
+                continue;
+            };
             found.upstreams += 1;
             found.per_second += rate.per_second();
             found.own_per_second += u.rate_limit.part().per_second;
@@ -119,7 +131,12 @@
             found.wait_ms = found.wait_ms.min(wait_ms.max(stand_back_ms));
             service = Some(Arc::clone(&u.listed.service));
         }
-        self.record_sought(now, service?, request.rank_index());
+        if let Some(service) = service {
+            self.record_sought(now, service, request.rank_index());
+        }
+        if found.upstreams + found.paused == 0 {
+            return None;
+        }
         if found.wait_ms == u64::MAX {
             found.wait_ms = (1_000.0 / found.per_second) as u64;
         }
--- a/crates/vanillakeel/src/fleet/removed.rs
+++ b/crates/vanillakeel/src/fleet/removed.rs
@@ -34,6 +34,14 @@
 }
 
 impl RemovedUpstreams {
+    /// Creates an empty collection.
+    #[must_use]
+    pub const fn new() -> Self {
+        Self {
+            removed: Vec::new(),
+        }
+    }
+
     /// Records that an upstream has been removed.
     pub fn on_removed(&mut self, now: Millis, listed: &ListedUpstream) {
         self.removed.retain(|r| now.since(r.at) < REMEMBERED_MS);
--- a/crates/vanillakeel/src/fleet/state.rs
+++ b/crates/vanillakeel/src/fleet/state.rs
@@ -6,6 +6,7 @@
         CacheNotice,
         RecentNotices, //
     },
+    removed::RemovedUpstreams,
     request::{
         Pick,
         PromptSegment,
@@ -22,7 +23,6 @@
 };
 use crate::{
     Millis,
-    membership::State,
     mesh::{
         Load,
         Loads, //
@@ -155,6 +155,8 @@
     cache_notices: RecentNotices,
     /// Recent requests that found no room under rate limits, sorted by service.
     room_sought: Vec<RoomSought>,
+    /// Removed upstreams that had said that they leave.
+    left: RemovedUpstreams,
 }
 
 impl Fleet {
@@ -172,6 +174,7 @@
             targets: RecentTargets::EMPTY,
             cache_notices: RecentNotices::new(),
             room_sought: Vec::new(),
+            left: RemovedUpstreams::new(),
         }
     }
 
@@ -245,7 +248,11 @@
     pub fn on_listed(&mut self, listed: &ListedUpstream) -> bool {
         let at = match self.find(&listed.name) {
             Err(at) => {
-                self.upstreams.insert(at, Upstream::new(listed));
+                let mut upstream = Upstream::new(listed);
+                if self.left.contains(listed) {
+                    upstream.availability.on_leaving();
+                }
+                self.upstreams.insert(at, upstream);
                 return true;
             }
             Ok(at) => at,
@@ -272,21 +279,19 @@
     }
 
     /// Removes an upstream that discovery no longer lists; returns whether it was known.
-    pub fn on_removed(&mut self, name: &str) -> bool {
+    ///
+    /// If it has said that it leaves, this is remembered in case an older list shows it again.
+    pub fn on_removed(&mut self, now: Millis, name: &str) -> bool {
         let at = self.find(name);
         if let Ok(at) = at {
-            self.upstreams.remove(at);
+            let upstream = self.upstreams.remove(at);
+            if upstream.availability.is_leaving() {
+                self.left.on_removed(now, &upstream.listed);
+            }
         }
         at.is_ok()
     }
 
-    /// Marks an incarnation as leaving after it has reported this itself.
-    pub fn on_leaving(&mut self, name: &str, incarnation: u64) {
-        if let Some(upstream) = self.find_incarnation(name, incarnation) {
-            upstream.listed.state = State::Leaving;
-        }
-    }
-
     /// Returns all upstreams in ascending order of name.
     pub fn iter(&self) -> impl Iterator<Item = &ListedUpstream> {
         self.upstreams.iter().map(|u| &u.listed)
@@ -323,13 +328,13 @@
         }
     }
 
-    /// Returns a digest of the upstreams that accept new work, by which instances detect that their
-    /// views differ.
+    /// Returns a digest of the upstreams that are listed as accepting new work, by which instances detect that
+    /// their views of the list differ.
     #[must_use]
     pub fn digest(&self) -> u64 {
         self.upstreams
             .iter()
-            .filter(|u| u.is_live())
+            .filter(|u| u.is_listed_live())
             .map(|u| {
                 let incarnation = order::hash_bytes(&u.listed.incarnation.to_le_bytes());
                 (incarnation | 1).wrapping_mul(u64::from(u.hash))
@@ -379,6 +384,7 @@
             upstream.load.prefill_tokens[rank] += u64::from(pick.prefill_tokens);
             upstream.health.on_send();
             upstream.rate_limit.on_send(now);
+            upstream.availability.on_send(now);
             for segment in request.shared() {
                 upstream.cached.on_use(now, segment.id);
             }
@@ -489,6 +495,7 @@
         };
         let calls = &mut upstream.load.calls[call.rank];
         *calls = calls.saturating_sub(1);
+        upstream.availability.on_end(now, call.sent);
         match outcome {
             CallOutcome::Success => {
                 upstream.record_duration(now.since(call.sent));
--- a/crates/vanillakeel/src/fleet/upstream.rs
+++ b/crates/vanillakeel/src/fleet/upstream.rs
@@ -6,6 +6,7 @@
 };
 use crate::{
     Millis,
+    availability::Availability,
     membership::State,
     order,
     rate_limits::RateLimit,
@@ -112,6 +113,8 @@
     pub(super) cached: CachedSegments,
     pub(super) health: Health,
     pub(super) rate_limit: RateLimit,
+    /// What its answers say of whether it takes requests.
+    pub(super) availability: Availability,
     pub(super) consecutive_failures: u32,
 }
 
@@ -134,6 +137,7 @@
             cached: CachedSegments::default(),
             health: Health::default(),
             rate_limit: RateLimit::new(process_id(listed)),
+            availability: Availability::default(),
             consecutive_failures: 0,
         }
     }
@@ -165,11 +169,16 @@
         self.mean_prefill_tokens += QUEUE_EWMA_WEIGHT * (tokens - self.mean_prefill_tokens);
     }
 
+    /// Returns whether it is listed as live and has not said that it leaves.
     pub(super) fn is_live(&self) -> bool {
+        self.is_listed_live() && !self.availability.is_leaving()
+    }
+
+    pub(super) fn is_listed_live(&self) -> bool {
         self.listed.state == State::Live
     }
 
-    /// Returns whether the upstream may run a request now, apart from its rate limit.
+    /// Returns whether the upstream may run a request now, apart from its rate limit and from a pause.
     pub(super) fn is_usable(&self, now: Millis, request: &RequestInfo<'_>) -> bool {
         let has_room = self.load.total_calls() < self.health.max_in_flight(now);
         has_room && self.may_run(request)
--- a/crates/vanillakeel/src/lib.rs
+++ b/crates/vanillakeel/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`fleet`] tracks the upstreams that discovery lists and chooses one for each request.
 //! - [`streams`] knows which software version began a stream that a caller takes up again.
 //! - [`quarantine`] finds the prompt segments that crash upstreams.
+//! - [`availability`] holds which upstreams want no requests, by what their answers say.
 //! - [`rate_limits`] holds the rates that upstreams name, and [`division`] divides limits over instances.
 //! - [`mesh`] exchanges load, and what was read from the log, between instances.
 //!
@@ -43,6 +44,7 @@
 
 pub mod admission;
 pub mod attempt;
+pub mod availability;
 pub mod claim;
 mod clock;
 pub mod config;
--- a/crates/vanillakeel/tests/chosen_upstreams.rs
+++ b/crates/vanillakeel/tests/chosen_upstreams.rs
@@ -161,7 +161,7 @@
 fn half_gone() {
     let mut fleet = fleet(10, 1);
     for at in 0..5 {
-        fleet.on_removed(&format!("runner-{at}"));
+        fleet.on_removed(Millis::ZERO, &format!("runner-{at}"));
     }
     for prefix in 1..50 {
         let segments = long_prompt(prefix, 1_000);
