fix(platform): settings of deployments whose figures have a fraction

Cause: the template joined digits to figures of the platform (slack, grace, window of the retry budget). Class: text made by joining characters to a value whose form is another party's.

--- a/crates/vanillakeel-entry/src/gateway.rs
+++ b/crates/vanillakeel-entry/src/gateway.rs
@@ -23,6 +23,7 @@
 mod call;
 mod client;
 mod crashes;
+mod duration;
 mod exchange;
 mod framing;
 mod guard;
--- a/crates/vanillakeel-entry/src/gateway/settings.rs
+++ b/crates/vanillakeel-entry/src/gateway/settings.rs
@@ -21,6 +21,7 @@
 //! # Ok::<(), vanillakeel_entry::settings::Error>(())
 //! ```
 
+use super::duration;
 use crate::settings::{
     Error,
     Instance,
@@ -118,8 +119,10 @@
     /// again.
     pub relisted_ms: u64,
     /// Longest time for which a revoked key may still be accepted.
+    #[serde(deserialize_with = "duration::deserialize_ms")]
     pub revoked_ms: u64,
     /// Time within which a published configuration has to be in force.
+    #[serde(deserialize_with = "duration::deserialize_ms")]
     pub in_force_ms: u64,
     /// Time after SIGTERM for which new connections are accepted as before, until the load balancer
     /// has noticed the stop.
@@ -128,6 +131,7 @@
     /// before the process does.
     pub last_request_ms: u64,
     /// Time after SIGTERM within which the process has to exit.
+    #[serde(deserialize_with = "duration::deserialize_ms")]
     pub grace_ms: u64,
     /// Longest time for which an upstream may ask for no requests.
     pub max_pause_ms: u64,
@@ -189,6 +193,7 @@
     /// Additional retries in the window, for all instances together.
     pub slack: f64,
     /// Length of the window in ms.
+    #[serde(deserialize_with = "duration::deserialize_ms")]
     pub window_ms: u64,
     /// Number of instances that share the slack, where they do not exchange load; otherwise the assumed
     /// number of those that share connections to upstreams until the real one is known.
