feat: paced calls to a log that fails, and members that read it for their hub

Cause: while the log failed or turned a hub away, each member read it for itself, four times a second on two topics where calls failed and 2.25 times where they did not; a hub that was turned away refused requests with keys although its members were served.

Calls are paced now (ask_pace): one task of an instance asks at a time, with pauses that grow and differ, longer where a hub is heard. A hub that is not served asks a member that is what the log holds (mesh::relay). After its first read an instance that knows a hub waits a moment for it.

An outage is noted for the list of upstreams by any failed call: with one asker, store_troubles::gone_after_outage failed once in a run of the whole suite, as upstreams whose entries had lapsed were removed.

--- a/crates/vanillakeel-entry/src/gateway/peers.rs
+++ b/crates/vanillakeel-entry/src/gateway/peers.rs
@@ -55,6 +55,7 @@
     generated::{
         MeshCrashes,
         MeshExchange,
+        MeshLogQuery,
         MeshMessage,
         MeshReads,
         MeshReport,
@@ -66,9 +67,12 @@
 /// Size of the receive buffer, in bytes; a UDP datagram cannot be larger.
 const MAX_DATAGRAM_BYTES: usize = 64 << 10;
 
-/// Pause after a failed write, read or receive, in ms.
+/// Pause after a failed receive, in ms.
 const RETRY_PAUSE_MS: u64 = 1_000;
 
+/// Time by which the tasks that read the log go first when it is asked again after a failure, in ms.
+const ASK_DELAY_MS: u64 = 200;
+
 /// Largest age of the last read of the upstreams at which a hub counts as fresh, in ms: an interval of
 /// reads and a repetition of one that is late.
 pub(super) const MAX_READ_AGE_MS: u64 = 1_200;
@@ -100,11 +104,13 @@
         ))),
     };
     let mut written_in = shared.log_era();
-    write_address(log, &entry).await;
+    write_address(shared, log, &entry).await;
     let mut after = None;
     loop {
+        let asked_at = shared.clock.now();
         match (log.read_newest)(Topic::Peers, after.clone(), ReadProgress::default()).await {
             Ok(page) => {
+                shared.on_log_served();
                 let peers = page.entries.iter().filter_map(parse_peer);
                 for peer in peers {
                     shared.mesh.borrow_mut().on_peer(&peer);
@@ -119,7 +125,8 @@
             }
             Err(e) => {
                 tracing::warn!(error = %e, "the addresses of peers could not be read from the log");
-                sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
+                shared.on_log_failed(asked_at);
+                shared.wait_to_ask(ASK_DELAY_MS).await;
             }
         }
     }
@@ -134,17 +141,23 @@
             continue;
         }
         written_in = shared.log_era();
-        write_address(log, &entry).await;
+        write_address(shared, log, &entry).await;
     }
 }
 
 /// Writes the address of this instance to the log; tries again until the log has answered.
-async fn write_address(log: &LogAdapter, entry: &Entry) {
-    while let Err(e) = (log.write)(Topic::Peers, entry.clone()).await {
+async fn write_address(shared: &Shared, log: &LogAdapter, entry: &Entry) {
+    loop {
+        let asked_at = shared.clock.now();
+        let Err(e) = (log.write)(Topic::Peers, entry.clone()).await else {
+            break;
+        };
         tracing::warn!(error = %e, "the address of this instance could not be written to the log");
         (log.drop_idle)();
-        sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
+        shared.on_log_failed(asked_at);
+        shared.wait_to_ask(ASK_DELAY_MS).await;
     }
+    shared.on_log_served();
 }
 
 /// Announces to the hubs that this instance is stopping, tells the keepers of streams what it knows, and
@@ -203,10 +216,23 @@
         shared.fleet.borrow_mut().set_extrapolation_factor(factor);
         if shared.mesh.borrow().is_hub(now) {
             exchange_totals(shared, socket, now).await;
+            query_log_reader(shared, socket, now).await;
         }
     }
 }
 
+/// Asks a member what the log holds while the log does not serve this hub.
+async fn query_log_reader(shared: &Shared, socket: &UdpSocket, now: Millis) {
+    if !shared.is_log_failing() {
+        return;
+    }
+    let reader = shared.mesh.borrow_mut().log_reader(now);
+    if let Some(reader) = reader {
+        let id = shared.report_ids.id(now);
+        send_message(shared, socket, &reader, Kind::LogQuery(MeshLogQuery { id })).await;
+    }
+}
+
 /// Updates the gauges that show the state of the mesh.
 fn update_metrics(shared: &Shared, now: Millis) {
     let mesh = shared.mesh.borrow();
@@ -368,6 +394,12 @@
             mesh.on_exchange(now, name, &message.data_centre, loads, exchange.instances);
         }
         Some(Kind::Summary(summary)) => on_summary(shared, now, name, &summary),
+        Some(Kind::LogQuery(query)) => {
+            shared.mesh.borrow_mut().on_log_query(now);
+            let view = log_view(shared, now, query.id, has_read_log(shared, now));
+            send_message(shared, socket, &peer, Kind::LogView(view)).await;
+        }
+        Some(Kind::LogView(view)) => on_log_view(shared, now, name, &view),
         Some(Kind::Streams(told)) => streams::on_told(shared, &told),
         Some(Kind::StreamQuery(query)) => {
             let answer = streams::answer(shared, &query);
@@ -398,30 +430,54 @@
         loads.merge(&others);
         (loads, own_instances + other_instances)
     };
+    let is_fresh = has_read_log(shared, now) || has_relayed_log(shared, now);
+    MeshSummary {
+        loads: Some(loads_to_wire(&loads)),
+        instances,
+        reads: Some(cache_notices_to_wire(shared, now)),
+        crashes: crashes_to_wire(&shared.quarantine.borrow().evidence(now)),
+        rates: rate_limits::to_wire(shared, now),
+        roster: rate_limits::roster_for(shared, now, member, Scope::All),
+        ..log_view(shared, now, report_id, is_fresh)
+    }
+}
+
+/// Creates the part of a summary that tells what the log holds.
+fn log_view(shared: &Shared, now: Millis, report_id: u64, is_fresh: bool) -> MeshSummary {
     let in_force = shared.in_force.borrow();
-    let confirmation_age_ms = in_force.confirmation_age_ms(now);
-    let read_at = shared.upstreams_read_at.get();
-    let was_read_recently = read_at.is_some_and(|t| now.since(t) < MAX_READ_AGE_MS);
-    let max_age_ms = shared.settings.borrow().timing.hub_confirmation_ms();
-    let is_confirmed = confirmation_age_ms.is_some_and(|age| age < max_age_ms);
     let changes = shared.recent_changes.borrow();
     MeshSummary {
         report_id,
-        fresh: was_read_recently && is_confirmed && !in_force.has_failed_read(),
+        fresh: is_fresh,
         version: in_force.version(),
-        proof_age: confirmation_age_ms.unwrap_or(u64::MAX),
+        proof_age: in_force.confirmation_age_ms(now).unwrap_or(u64::MAX),
         digest: shared.fleet.borrow().digest(),
-        loads: Some(loads_to_wire(&loads)),
         changes: changes.iter().map(|(_, c)| change_to_wire(c)).collect(),
-        instances,
-        reads: Some(cache_notices_to_wire(shared, now)),
         log_era: shared.log_era(),
-        crashes: crashes_to_wire(&shared.quarantine.borrow().evidence(now)),
-        rates: rate_limits::to_wire(shared, now),
-        roster: rate_limits::roster_for(shared, now, member, Scope::All),
+        ..MeshSummary::default()
     }
 }
 
+/// Returns whether this instance has recently read the log itself.
+fn has_read_log(shared: &Shared, now: Millis) -> bool {
+    let read_at = shared.upstreams_read_at.get();
+    let was_read_recently = read_at.is_some_and(|t| now.since(t) < MAX_READ_AGE_MS);
+    was_read_recently && is_confirmed(shared, now) && !shared.in_force.borrow().has_failed_read()
+}
+
+/// Returns whether a member has recently read the log for this hub, and knows the same upstreams.
+fn has_relayed_log(shared: &Shared, now: Millis) -> bool {
+    let has_same_upstreams = shared.hub_differs_since.get().is_none();
+    has_same_upstreams && is_confirmed(shared, now) && shared.mesh.borrow().has_log_view(now)
+}
+
+/// Returns whether the version in force was confirmed so recently that members may rely on it.
+fn is_confirmed(shared: &Shared, now: Millis) -> bool {
+    let max_age_ms = shared.settings.borrow().timing.hub_confirmation_ms();
+    let age_ms = shared.in_force.borrow().confirmation_age_ms(now);
+    age_ms.is_some_and(|age| age < max_age_ms)
+}
+
 /// Applies the answer of a hub; log contents only count if the hub is fresh.
 fn on_summary(shared: &Shared, now: Millis, hub: &Arc<str>, summary: &MeshSummary) {
     let Some(sent_at) = shared.report_ids.sent_at(summary.report_id, now) else {
@@ -441,15 +497,39 @@
     shared.roster.borrow_mut().on_heard(now, &summary.roster);
     let loads = loads_from_wire(summary.loads.as_ref());
     shared.fleet.borrow_mut().set_remote(&loads);
-    shared.on_announced(summary.version, hub);
+    apply_log_view(shared, now, hub, summary, is_fresh.then_some(sent_at));
+}
+
+/// Applies the answer of a member that reads the log for this hub.
+fn on_log_view(shared: &Shared, now: Millis, member: &Arc<str>, view: &MeshSummary) {
+    let Some(sent_at) = shared.report_ids.sent_at(view.report_id, now) else {
+        shared.metrics.bad_datagrams.inc();
+        return;
+    };
+    let is_fresh = view.fresh && view.log_era >= shared.log_era();
+    shared.mesh.borrow_mut().on_log_view(now, member, is_fresh);
+    shared.has_relayed_changes.set(true);
+    apply_log_view(shared, now, member, view, is_fresh.then_some(sent_at));
+}
+
+/// Applies what another instance has read from the log; `asked_at` is the time at which it was asked, if its view is
+/// fresh.
+fn apply_log_view(
+    shared: &Shared,
+    now: Millis,
+    reader: &Arc<str>,
+    summary: &MeshSummary,
+    asked_at: Option<Millis>,
+) {
+    shared.on_announced(summary.version, reader);
     if summary.log_era > shared.log_era() {
         // The log itself shows its era to the task that reads the configuration.
         shared.newer_version.notify_one();
     }
-    if !is_fresh {
+    let Some(asked_at) = asked_at else {
         return;
-    }
-    confirm_version(shared, summary, sent_at, hub);
+    };
+    confirm_version(shared, summary, asked_at, reader);
     let changes = summary.changes.iter().filter_map(change_from_wire);
     let mut has_changed = false;
     for change in changes {
--- a/crates/vanillakeel-entry/src/gateway/watch.rs
+++ b/crates/vanillakeel-entry/src/gateway/watch.rs
@@ -53,8 +53,6 @@
     topic: &'static str,
     /// Time at which the first read of the failures since the last answer was sent.
     lost_since: Option<Millis>,
-    /// Whether a read has failed since this field was last cleared.
-    was_lost: bool,
 }
 
 impl TopicStatus {
@@ -62,7 +60,6 @@
         Self {
             topic,
             lost_since: None,
-            was_lost: false,
         }
     }
 
@@ -79,6 +76,11 @@
             Ok(_) | Err(ReadError::Compacted) => None,
             Err(e) => Some(e),
         };
+        if error.is_some() {
+            shared.on_log_failed(asked_at);
+        } else {
+            shared.on_log_served();
+        }
         if let Some(e) = error {
             shared.metrics.source_errors.inc();
             if self.lost_since.is_none() {
@@ -87,7 +89,6 @@
                 let received_bytes = answer.received_bytes;
                 tracing::warn!(topic = self.topic, error = %e, read_ms, received_bytes, "log lost");
             }
-            self.was_lost = true;
         } else if let Some(since) = self.lost_since.take() {
             let lost_ms = now.since(since);
             tracing::info!(topic = self.topic, lost_ms, "log regained");
--- a/crates/vanillakeel-entry/src/gateway/watch/configuration.rs
+++ b/crates/vanillakeel-entry/src/gateway/watch/configuration.rs
@@ -43,6 +43,9 @@
     },
 };
 
+/// Pause of an instance that knows a hub between two own reads, in ms.
+const HUB_WAIT_MS: u64 = 500;
+
 /// Follows the routing configuration for as long as the process runs.
 pub(in super::super) async fn follow_configuration(shared: Rc<Shared>, log: LogAdapter) {
     let mut status = TopicStatus::new("configuration");
@@ -109,6 +112,7 @@
                     shared.on_read_failed(asked_at);
                 } else if page.is_up_to_date {
                     shared.confirm_newest(asked_at, &me);
+                    wait_for_hub(&shared).await;
                 }
                 if !page.is_up_to_date && !has_progress {
                     position = None;
@@ -116,11 +120,30 @@
                 }
             }
             Err(ReadError::Compacted) => position = None,
-            Err(_) => sleep(Duration::from_millis(RETRY_PAUSE_MS)).await,
+            Err(_) => {
+                // A newer version shows that the log serves others.
+                tokio::select! {
+                    () = shared.wait_to_ask(0) => {}
+                    () = shared.newer_version.notified() => {}
+                }
+            }
         }
     }
 }
 
+/// Waits a short time for a hub to cover this instance, if it knows one, before it reads the log again itself.
+async fn wait_for_hub(shared: &Shared) {
+    let now = shared.clock.now();
+    let may_be_covered = {
+        let mesh = shared.mesh.borrow();
+        mesh.hub(now).is_some() && !mesh.is_hub(now) && !mesh.reads_for_hub(now)
+    };
+    if may_be_covered && shared.in_force.borrow().table().is_some() {
+        let pause = Duration::from_millis(HUB_WAIT_MS);
+        let _ = timeout(pause, shared.newer_version.notified()).await;
+    }
+}
+
 /// Waits until a newer version is announced while nothing of the answer to a read has arrived.
 ///
 /// An answer that has begun to arrive brings that version or one before it.
--- a/crates/vanillakeel-entry/src/gateway/watch/upstreams.rs
+++ b/crates/vanillakeel-entry/src/gateway/watch/upstreams.rs
@@ -34,22 +34,31 @@
 use tokio::time::sleep;
 use vanillakeel::{
     Millis,
-    fleet::MissingUpstreams, //
+    fleet::MissingUpstreams,
+    mesh::VIEW_TIMEOUT_MS, //
 };
 
 /// Time for which the upstreams known to the hub may differ from those known here before the log is
 /// read, in ms.
 const MAX_HUB_DIFFERENCE_MS: u64 = 600;
 
-/// Age of what is known of the upstreams while a hub supplies it, in ms, at most: that of the hub's last
-/// read and the time for which the views may differ.
-const MAX_HUB_VIEW_AGE_MS: u64 = MAX_READ_AGE_MS + MAX_HUB_DIFFERENCE_MS;
+/// Age of what is known of the upstreams while a hub supplies it, in ms, at most: that of the last read of the hub or
+/// of the member that reads for it, that of this member's view, and the time for which the views may differ.
+const MAX_HUB_VIEW_AGE_MS: u64 = MAX_READ_AGE_MS + VIEW_TIMEOUT_MS + MAX_HUB_DIFFERENCE_MS;
+
+/// Time by which this task lets the one that reads the configuration go first when the log is asked again after a
+/// failure, in ms.
+const ASK_DELAY_MS: u64 = 100;
 
 /// Follows the list of upstreams for as long as the process runs.
 pub(in super::super) async fn follow_upstreams(shared: Rc<Shared>, log: LogAdapter) {
     let mut list = UpstreamList::default();
     let mut is_asked = false;
     loop {
+        // After a failure this waits for its turn, and a hub may supply the list by then.
+        if !list.is_kept_by_hub(&shared) {
+            shared.wait_to_ask(ASK_DELAY_MS).await;
+        }
         let pause_ms = if !is_asked && list.is_kept_by_hub(&shared) {
             let seen_at = shared.clock.now().minus(MAX_HUB_VIEW_AGE_MS);
             shared.on_upstreams_seen(seen_at);
@@ -104,6 +113,10 @@
     /// Reads the list or the records that follow; returns the pause before the next read, in ms.
     async fn read(&mut self, shared: &Shared, log: &LogAdapter) -> u64 {
         self.position = self.position.filter(|p| p.era == shared.log_era());
+        if shared.has_relayed_changes.take() {
+            // The records that follow the last own read may be older than what a member has told since.
+            self.position = None;
+        }
         let req = ReadRequest {
             topic: Topic::Upstreams,
             from: self.position.map(|p| p.offset),
@@ -122,7 +135,8 @@
                 let had_position = self.position.take().is_some();
                 if had_position { 0 } else { RETRY_PAUSE_MS }
             }
-            Err(_) => RETRY_PAUSE_MS,
+            // The next read waits for its turn.
+            Err(_) => 0,
         }
     }
 
@@ -131,9 +145,9 @@
         let now = shared.clock.now();
         let timing = shared.settings.borrow().timing;
         let relisted_at = now.plus(timing.relisted_ms);
-        if self.status.was_lost {
+        // During an outage only one task asks, so that no read of the upstreams may have failed.
+        if shared.was_log_lost.take() {
             self.missing.on_outage_over(relisted_at);
-            self.status.was_lost = false;
         }
         let is_list = self.position.is_none();
         let previous_era = self.listed_era.replace(page.era);
--- a/crates/vanillakeel-wire/src/generated.rs
+++ b/crates/vanillakeel-wire/src/generated.rs
@@ -211,7 +211,7 @@
     /// Bandwidth of the sender's link in Mbit/s, zero if unknown.
     #[prost(uint32, tag = "7")]
     pub link_mbps: u32,
-    #[prost(oneof = "mesh_message::Kind", tags = "3, 4, 5, 6, 8, 9, 10")]
+    #[prost(oneof = "mesh_message::Kind", tags = "3, 4, 5, 6, 8, 9, 10, 11, 12")]
     pub kind: ::core::option::Option<mesh_message::Kind>,
 }
 /// Nested message and enum types in `MeshMessage`.
@@ -233,6 +233,11 @@
         StreamQuery(super::MeshStreamQuery),
         #[prost(message, tag = "10")]
         StreamAnswer(super::MeshStreamAnswer),
+        #[prost(message, tag = "11")]
+        LogQuery(super::MeshLogQuery),
+        /// The answer to a log query: a summary without loads.
+        #[prost(message, tag = "12")]
+        LogView(super::MeshSummary),
     }
 }
 /// Load that an instance or a data centre puts on upstreams; lists of equal length, in ascending
@@ -372,6 +377,13 @@
     #[prost(fixed32, repeated, tag = "13")]
     pub roster: ::prost::alloc::vec::Vec<u32>,
 }
+/// The question of a hub that the log does not serve, to a member that it serves: what the log holds.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct MeshLogQuery {
+    /// Id that the answer repeats; its low 40 bits are the hub's clock, in ms.
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+}
 /// The totals that a hub sends to the hubs of other data centres.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct MeshExchange {
--- a/crates/vanillakeel/src/lib.rs
+++ b/crates/vanillakeel/src/lib.rs
@@ -16,6 +16,7 @@
 //! - [`quarantine`] finds the prompt segments that crash upstreams.
 //! - [`availability`] holds which upstreams want no requests, by what their answers say.
 //! - [`rate_limits`] holds the rates that upstreams name, and [`division`] divides limits over instances.
+//! - [`ask_pace`] says how often an instance asks a log that does not serve it.
 //! - [`mesh`] exchanges load, and what was read from the log, between instances.
 //!
 //! The `vanillakeel-entry` daemon serves requests by class and priority:
@@ -43,6 +44,7 @@
 //! ```
 
 pub mod admission;
+pub mod ask_pace;
 pub mod attempt;
 pub mod availability;
 pub mod claim;
--- a/crates/vanillakeel/src/mesh.rs
+++ b/crates/vanillakeel/src/mesh.rs
@@ -7,7 +7,7 @@
 //! Each data centre has one hub, chosen by link bandwidth and rendezvous hashing among the known
 //! instances. The other instances, its members, report their load to it. The hub answers with the
 //! total load, with what it has read from the log and with how fresh that is, so that only hubs
-//! have to read the log. Hubs of different data centres exchange their totals. Two hubs at once, or
+//! have to read the log. While the log turns a hub away, the hub asks a member that the log serves instead. Hubs of different data centres exchange their totals. Two hubs at once, or
 //! none, only cost efficiency: an instance that gets no answer tries the next candidate and
 //! reads the log itself in the meantime.
 //!
@@ -22,6 +22,7 @@
 
 mod keepers;
 mod loads;
+mod relay;
 mod report_ids;
 mod state;
 
@@ -30,6 +31,7 @@
         Load,
         Loads, //
     },
+    relay::VIEW_TIMEOUT_MS,
     report_ids::ReportIds,
     state::{
         Mesh,
--- a/crates/vanillakeel/src/mesh/state.rs
+++ b/crates/vanillakeel/src/mesh/state.rs
@@ -1,6 +1,9 @@
 //! Election of hubs, and the load that other instances report.
 
-use super::Loads;
+use super::{
+    Loads,
+    relay::Relay, //
+};
 use crate::{
     Millis,
     order, //
@@ -94,13 +97,15 @@
 }
 
 #[derive(Clone, Debug)]
-struct KnownPeer {
-    peer: Peer,
+pub(super) struct KnownPeer {
+    pub(super) peer: Peer,
     /// Time at which the oldest unanswered message was sent.
     unanswered_since: Option<Millis>,
     backoff_until: Millis,
     timeouts: u32,
     report: Option<MemberReport>,
+    /// Time until which it is not asked for the contents of the log.
+    pub(super) no_reader_until: Millis,
 }
 
 impl KnownPeer {
@@ -111,8 +116,14 @@
             backoff_until: Millis::ZERO,
             timeouts: 0,
             report: None,
+            no_reader_until: Millis::ZERO,
         }
     }
+
+    /// Returns whether its last report says that its configuration is confirmed.
+    pub(super) fn is_confirmed(&self) -> bool {
+        self.report.as_ref().is_some_and(|r| r.is_confirmed)
+    }
 }
 
 /// The total load of another data centre.
@@ -127,10 +138,10 @@
 /// The view that one instance has of the others.
 #[derive(Clone, Debug)]
 pub struct Mesh {
-    me: Peer,
-    settings: Settings,
+    pub(super) me: Peer,
+    pub(super) settings: Settings,
     /// Sorted by name.
-    peers: Vec<KnownPeer>,
+    pub(super) peers: Vec<KnownPeer>,
     /// Sorted by data centre.
     totals: Vec<DataCentreTotal>,
     summary: Option<(Millis, Summary)>,
@@ -143,6 +154,7 @@
     /// Largest number of instances that may have been alive recently, with the time at which it was seen
     /// last.
     peak_sharing: (Millis, u32),
+    pub(super) relay: Relay,
 }
 
 impl Mesh {
@@ -159,6 +171,7 @@
             is_known: false,
             peak_instances: (Millis::ZERO, 1),
             peak_sharing: (Millis::ZERO, 1),
+            relay: Relay::NONE,
         }
     }
 
@@ -168,7 +181,7 @@
         &self.me
     }
 
-    fn find(&self, name: &str) -> Result<usize, usize> {
+    pub(super) fn find(&self, name: &str) -> Result<usize, usize> {
         self.peers.binary_search_by(|k| (*k.peer.name).cmp(name))
     }
 
@@ -250,7 +263,7 @@
         u32::try_from(count).unwrap_or(u32::MAX)
     }
 
-    fn is_report_fresh(&self, now: Millis, known: &KnownPeer) -> bool {
+    pub(super) fn is_report_fresh(&self, now: Millis, known: &KnownPeer) -> bool {
         let received = known.report.as_ref().map(|r| r.received);
         received.is_some_and(|t| now.since(t) < self.settings.report_ttl_ms)
     }
@@ -343,15 +356,26 @@
     }
 
     /// Returns whether this instance is covered: a hub that reads the log has answered recently, so
-    /// that this instance does not have to read it.
+    /// that this instance does not have to read it, and the hub does not rely on it for that.
     #[must_use]
     pub fn is_covered(&self, now: Millis) -> bool {
         !self.is_hub(now)
+            && !self.reads_for_hub(now)
             && self.summary.is_some_and(|(received, summary)| {
                 summary.is_fresh && now.since(received) < self.settings.answer_timeout_ms
             })
     }
 
+    /// Returns whether this instance has heard a hub of its data centre recently that is not itself.
+    #[must_use]
+    pub fn hears_hub(&self, now: Millis) -> bool {
+        let is_recent = |received| now.since(received) < self.settings.report_ttl_ms;
+        !self.is_hub(now)
+            && self
+                .summary
+                .is_some_and(|(received, _)| is_recent(received))
+    }
+
     /// Returns whether other instances of the data centre have probably a confirmed configuration while
     /// this one has not, because it has lost contact with the log.
     ///
