--- a/crates/vanillakeel-entry/src/gateway/exchange.rs
+++ b/crates/vanillakeel-entry/src/gateway/exchange.rs
@@ -264,6 +264,10 @@
         SendFailure::ClosedWhileIdle | SendFailure::WithdrawnBefore => true,
         SendFailure::Overload(_) => false,
         SendFailure::NoConnection => allows_retry,
+        SendFailure::NoRoom(no_room) if no_room.is_tested => {
+            // The answer to the test may come at any time.
+            allows_retry && wait_for_fleet(shared, request).await
+        }
         SendFailure::NoRoom(no_room) => {
             let max_wait_ms = remaining_wait_ms(shared, request);
             let wait_ms = no_room.own_wait_ms().filter(|ms| *ms <= max_wait_ms);
@@ -273,16 +277,7 @@
             sleep(Duration::from_millis(wait_ms)).await;
             true
         }
-        SendFailure::NoUpstream => {
-            let remaining_ms = remaining_wait_ms(shared, request);
-            if !allows_retry || remaining_ms == 0 {
-                return false;
-            }
-            let changed = shared.fleet_changed.notified();
-            timeout(Duration::from_millis(remaining_ms), changed)
-                .await
-                .is_ok()
-        }
+        SendFailure::NoUpstream => allows_retry && wait_for_fleet(shared, request).await,
         SendFailure::ConnectFailed => {
             attempts.failed_connects += 1;
             allows_retry && attempts.failed_connects < MAX_FAILED_CONNECTS
@@ -299,6 +294,18 @@
     }
 }
 
+/// Waits a short time for the fleet to change; returns whether it has.
+async fn wait_for_fleet(shared: &Shared, request: &RoutedRequest) -> bool {
+    let remaining_ms = remaining_wait_ms(shared, request);
+    if remaining_ms == 0 {
+        return false;
+    }
+    let changed = shared.fleet_changed.notified();
+    timeout(Duration::from_millis(remaining_ms), changed)
+        .await
+        .is_ok()
+}
+
 /// Returns how much longer a request may wait for an upstream, in ms.
 fn remaining_wait_ms(shared: &Shared, request: &RoutedRequest) -> u64 {
     let target_ms = request.route.target_ms;
--- a/crates/vanillakeel/src/fleet/limited.rs
+++ b/crates/vanillakeel/src/fleet/limited.rs
@@ -46,6 +46,8 @@
     pub per_second: f64,
     /// Requests a second that they take from this instance.
     pub own_per_second: f64,
+    /// Whether a request tests whether one of them takes requests after its pause.
+    pub is_tested: bool,
     /// Time until there is room at one of them: here, or at some instance if this one has no part.
     pub wait_ms: u64,
     /// Time after which the caller may retry, in ms.
@@ -106,6 +108,7 @@
             upstreams: 0,
             per_second: 0.0,
             own_per_second: 0.0,
+            is_tested: false,
             wait_ms: u64::MAX,
             retry_after_ms: 0,
         };
@@ -116,9 +119,9 @@
             }
             if !u.availability.takes_request(now) {
                 found.paused += 1;
-                // The answer to a test may come at any time.
-                let wait_ms = u.availability.wait_ms(now).unwrap_or(min_retry_after_ms);
-                found.wait_ms = found.wait_ms.min(wait_ms);
+                let wait_ms = u.availability.wait_ms(now);
+                found.is_tested |= wait_ms.is_none();
+                found.wait_ms = found.wait_ms.min(wait_ms.unwrap_or(min_retry_after_ms));
                 continue;
             }
             let Some(rate) = u.rate_limit.rate() else {
