feat: hubs pass on configurations to their members

Cause: a hub announced a newer version, and each instance read its text from the log. It also cost a call of each instance for each version.

A member that hears of a newer version asks its hub for the compressed text, in parts that fit into a packet, and reads the log only if that fails; a hub that the log does not serve asks the member that reads for it. Only summaries confirm a version. Ruled out: a late announcement, and the links of the members alone.

--- a/crates/vanillakeel-entry/src/gateway.rs
+++ b/crates/vanillakeel-entry/src/gateway.rs
@@ -49,6 +49,7 @@
 mod sockets;
 mod stop;
 mod streams;
+mod texts;
 mod watch;
 
 pub use self::{
--- a/crates/vanillakeel-entry/src/gateway/metrics.rs
+++ b/crates/vanillakeel-entry/src/gateway/metrics.rs
@@ -76,6 +76,7 @@
     pub(super) bad_datagrams: Counter,
     pub(super) bad_rate_limits: Counter,
     pub(super) limited_sends: Counter,
+    pub(super) passed_texts: Counter,
     pub(super) pauses: Counter,
     pub(super) bad_pauses: Counter,
     pub(super) version: Gauge,
@@ -115,6 +116,7 @@
             bad_datagrams: Counter::default(),
             bad_rate_limits: Counter::default(),
             limited_sends: Counter::default(),
+            passed_texts: Counter::default(),
             pauses: Counter::default(),
             bad_pauses: Counter::default(),
             version: Gauge::default(),
@@ -239,6 +241,11 @@
             "Requests sent to upstreams that name a rate limit",
             self.limited_sends.clone(),
         );
+        registry.register(
+            "passed_configurations",
+            "Configurations whose text came from a hub instead of the log",
+            self.passed_texts.clone(),
+        );
         registry.register(
             "upstream_pauses",
             "Pauses that upstreams have asked this instance for",
--- a/crates/vanillakeel-entry/src/gateway/peers.rs
+++ b/crates/vanillakeel-entry/src/gateway/peers.rs
@@ -23,7 +23,8 @@
     },
     rate_limits,
     shared::Shared,
-    streams, //
+    streams,
+    texts, //
 };
 use bytes::Bytes;
 use std::{
@@ -399,6 +400,8 @@
             let view = log_view(shared, now, query.id, has_read_log(shared, now));
             send_message(shared, socket, &peer, Kind::LogView(view)).await;
         }
+        Some(Kind::TextQuery(query)) => texts::on_query(shared, &peer, &query),
+        Some(Kind::TextPart(part)) => texts::on_part(shared, &part),
         Some(Kind::LogView(view)) => on_log_view(shared, now, name, &view),
         Some(Kind::Streams(told)) => streams::on_told(shared, &told),
         Some(Kind::StreamQuery(query)) => {
--- a/crates/vanillakeel-entry/src/gateway/shared.rs
+++ b/crates/vanillakeel-entry/src/gateway/shared.rs
@@ -62,8 +62,10 @@
     mesh::{
         self,
         Mesh,
+        PartedText,
         Peer,
-        ReportIds, //
+        ReportIds,
+        TextAssembly, //
     },
     order,
     quarantine::Quarantine,
@@ -158,6 +160,12 @@
     pub(super) recent_changes: RefCell<Vec<(Millis, UpstreamChange)>>,
     /// Time at which the last complete read of the upstreams was sent to the log.
     pub(super) upstreams_read_at: Cell<Option<Millis>>,
+    /// Text of the version in force, kept for members.
+    pub(super) text: RefCell<Option<PartedText>>,
+    /// Text that a hub has been asked for.
+    pub(super) text_assembly: RefCell<Option<TextAssembly>>,
+    /// Wakes the task that has asked for a text.
+    pub(super) text_part_added: Notify,
     /// Whether a member has told of changes of upstreams since the last own read of the list.
     pub(super) has_relayed_changes: Cell<bool>,
     /// Time since which the upstreams known to the hub differ from those known here.
@@ -236,6 +244,9 @@
             stream_lookups: RefCell::default(),
             recent_changes: RefCell::default(),
             upstreams_read_at: Cell::new(None),
+            text: RefCell::default(),
+            text_assembly: RefCell::default(),
+            text_part_added: Notify::new(),
             has_relayed_changes: Cell::new(false),
             hub_differs_since: Cell::new(None),
             confirmed_by: RefCell::new(Arc::from("")),
--- a/crates/vanillakeel-entry/src/gateway/watch/configuration.rs
+++ b/crates/vanillakeel-entry/src/gateway/watch/configuration.rs
@@ -19,6 +19,7 @@
             ReadRequest, //
         },
         shared::Shared,
+        texts,
     },
     COVERED_POLL_MS,
     RETRY_PAUSE_MS,
@@ -67,6 +68,13 @@
             }
             is_announced = true;
         }
+        let asked_at = shared.clock.now();
+        if let Some(text) = texts::fetch(&shared).await {
+            let installed = install(&shared, &log, &text, asked_at);
+            if position.is_some() && installed.is_ok() && !is_behind() {
+                continue;
+            }
+        }
         let is_retry = status.is_lost();
         let timing = shared.settings.borrow().timing;
         let req = ReadRequest {
@@ -180,30 +188,34 @@
         let Some(value) = &entry.value else {
             continue;
         };
-        let decoded = (log.decode_configuration)(value);
-        last = Some(decoded.as_ref().map(|spec| spec.version).map_err(|_| ()));
-        match decoded {
-            Ok(spec) => {
-                let version = spec.version;
-                let previous = shared.in_force.borrow().table().map(|t| t.version());
-                let is_newer = shared.in_force.borrow_mut().install(Table::new(spec));
-                if is_newer {
-                    let now = shared.clock.now();
-                    let announced = shared.in_force.borrow().announced();
-                    let announced = announced.filter(|(v, _)| *v <= version);
-                    shared.metrics.version.set(version.cast_signed());
-                    shared.on_stream_life_changed();
-                    tracing::info!(
-                        version,
-                        previous,
-                        read_ms = now.since(asked_at),
-                        announced_ms = announced.map(|(_, at)| now.since(at)),
-                        "configuration in force"
-                    );
-                }
-            }
-            Err(e) => tracing::error!(error = %e, "configuration can't be read; the old one stays"),
-        }
+        last = Some(install(shared, log, value, asked_at));
     }
     last
 }
+
+/// Puts a configuration in force if it is newer than the present one; returns its version, or an error if it can't be
+/// decoded.
+fn install(shared: &Shared, log: &LogAdapter, text: &[u8], asked_at: Millis) -> Result<u64, ()> {
+    let spec = (log.decode_configuration)(text).map_err(|e| {
+        tracing::error!(error = %e, "configuration can't be read; the old one stays");
+    })?;
+    let version = spec.version;
+    let previous = shared.in_force.borrow().table().map(|t| t.version());
+    let is_newer = shared.in_force.borrow_mut().install(Table::new(spec));
+    if is_newer {
+        texts::keep(shared, version, text);
+        let now = shared.clock.now();
+        let announced = shared.in_force.borrow().announced();
+        let announced = announced.filter(|(v, _)| *v <= version);
+        shared.metrics.version.set(version.cast_signed());
+        shared.on_stream_life_changed();
+        tracing::info!(
+            version,
+            previous,
+            read_ms = now.since(asked_at),
+            announced_ms = announced.map(|(_, at)| now.since(at)),
+            "configuration in force"
+        );
+    }
+    Ok(version)
+}
--- a/crates/vanillakeel-wire/src/generated.rs
+++ b/crates/vanillakeel-wire/src/generated.rs
@@ -211,7 +211,7 @@
     /// Bandwidth of the sender's link in Mbit/s, zero if unknown.
     #[prost(uint32, tag = "7")]
     pub link_mbps: u32,
-    #[prost(oneof = "mesh_message::Kind", tags = "3, 4, 5, 6, 8, 9, 10, 11, 12")]
+    #[prost(oneof = "mesh_message::Kind", tags = "3, 4, 5, 6, 8, 9, 10, 11, 12, 13, 14")]
     pub kind: ::core::option::Option<mesh_message::Kind>,
 }
 /// Nested message and enum types in `MeshMessage`.
@@ -238,6 +238,10 @@
         /// The answer to a log query: a summary without loads.
         #[prost(message, tag = "12")]
         LogView(super::MeshSummary),
+        #[prost(message, tag = "13")]
+        TextQuery(super::MeshTextQuery),
+        #[prost(message, tag = "14")]
+        TextPart(super::MeshTextPart),
     }
 }
 /// Load that an instance or a data centre puts on upstreams; lists of equal length, in ascending
@@ -384,6 +388,32 @@
     #[prost(uint64, tag = "1")]
     pub id: u64,
 }
+/// The question of a member for the text of a configuration.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct MeshTextQuery {
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// Numbers of the parts that are missing; none if all are.
+    #[prost(uint32, repeated, tag = "2")]
+    pub missing: ::prost::alloc::vec::Vec<u32>,
+}
+/// A part of the compressed text of a configuration.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct MeshTextPart {
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// Digest of the whole compressed text.
+    #[prost(fixed64, tag = "2")]
+    pub digest: u64,
+    /// Number of parts.
+    #[prost(uint32, tag = "3")]
+    pub parts: u32,
+    /// Number of this part, from zero.
+    #[prost(uint32, tag = "4")]
+    pub part: u32,
+    #[prost(bytes = "vec", tag = "5")]
+    pub data: ::prost::alloc::vec::Vec<u8>,
+}
 /// The totals that a hub sends to the hubs of other data centres.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct MeshExchange {
--- a/crates/vanillakeel/src/mesh.rs
+++ b/crates/vanillakeel/src/mesh.rs
@@ -25,6 +25,7 @@
 mod relay;
 mod report_ids;
 mod state;
+mod text;
 
 pub use self::{
     loads::{
@@ -39,4 +40,9 @@
         Settings,
         Summary, //
     },
+    text::{
+        PartedText,
+        TextAssembly,
+        TextPart, //
+    },
 };
--- a/crates/vanillakeel/src/mesh/relay.rs
+++ b/crates/vanillakeel/src/mesh/relay.rs
@@ -77,6 +77,21 @@
         Some(peer)
     }
 
+    /// Returns the instance that has the text of the newest configuration: the hub, or the member that reads for this hub.
+    #[must_use]
+    pub fn text_source(&self, now: Millis) -> Option<&Peer> {
+        let reader = || {
+            let reader = self
+                .relay
+                .reader
+                .as_ref()
+                .filter(|_| self.has_log_view(now))?;
+            let at = self.find(&reader.name).ok()?;
+            Some(&self.peers[at].peer)
+        };
+        self.hub(now).or_else(reader)
+    }
+
     /// Does not ask the present reader again for a while.
     fn drop_reader(&mut self, now: Millis) {
         let Some(reader) = self.relay.reader.take() else {
