feat(entry): upstreams that say that they leave, or want no requests for a while

The daemon vanillakeel-entry read neither. Pauses are the same slice as in the pass-through daemon, in routing::Table.

The stand-in engine says both by its faults.

--- a/crates/vanillakeel-entry/src/caller/answer.rs
+++ b/crates/vanillakeel-entry/src/caller/answer.rs
@@ -254,8 +254,16 @@
 
     fn on_message(&mut self, message: AttemptMessage) -> Flow {
         match message {
-            AttemptMessage::Head { attempt, rate } => {
-                self.notify_control(Input::AnswerHead { attempt, rate });
+            AttemptMessage::Head {
+                attempt,
+                rate,
+                notice,
+            } => {
+                self.notify_control(Input::AnswerHead {
+                    attempt,
+                    rate,
+                    notice,
+                });
                 Flow::Continue
             }
             AttemptMessage::Event { attempt, data } => self.on_event(attempt, data),
--- a/crates/vanillakeel-entry/src/control.rs
+++ b/crates/vanillakeel-entry/src/control.rs
@@ -6,6 +6,7 @@
 //! upstreams and peer messages through [`Outputs`]. It does no network I/O itself.
 
 mod agreed;
+mod notices;
 mod peers;
 mod placing;
 mod rates;
@@ -280,7 +281,14 @@
             Input::FirstToken { attempt } => {
                 self.router.on_first_token(now, attempt);
             }
-            Input::AnswerHead { attempt, rate } => self.on_answer_head(now, attempt, rate),
+            Input::AnswerHead {
+                attempt,
+                rate,
+                notice,
+            } => {
+                self.on_answer_head(now, attempt, rate);
+                self.on_notice(now, attempt, notice);
+            }
             Input::AttemptEnded { attempt, end } => self.on_attempt_end(now, attempt, end),
             Input::WastedTokens { tokens } => self.router.on_wasted_tokens(tokens),
             Input::CallerGone { request } => self.on_caller_gone(now, request),
--- a/crates/vanillakeel-entry/src/message.rs
+++ b/crates/vanillakeel-entry/src/message.rs
@@ -17,6 +17,10 @@
 use vanillakeel::{
     Refusal, Request,
     attempt::End,
+    availability::{
+        BadPause,
+        Notice, //
+    },
     claim::{
         Appended,
         Key, //
@@ -43,10 +47,12 @@
     },
     /// The first token of an attempt, or the start of its answer, goes to the caller.
     FirstToken { attempt: u64 },
-    /// The head of an attempt's answer has arrived, with the rate that it names.
+    /// The head of an attempt's answer has arrived, with the rate that it names and whether its upstream takes further
+    /// requests.
     AnswerHead {
         attempt: u64,
         rate: Result<Option<Rate>, BadRate>,
+        notice: Result<Notice, BadPause>,
     },
     /// An attempt has ended.
     AttemptEnded { attempt: u64, end: End },
@@ -128,10 +134,11 @@
 /// A message from the thread of an attempt to the thread of its request.
 #[derive(Debug)]
 pub(crate) enum AttemptMessage {
-    /// The head of the answer has arrived; `rate` is what it names in the header for that.
+    /// The head of the answer has arrived; `rate` and `notice` are what it says in the headers for that.
     Head {
         attempt: u64,
         rate: Result<Option<Rate>, BadRate>,
+        notice: Result<Notice, BadPause>,
     },
     /// The data of a server-sent event.
     Event { attempt: u64, data: String },
--- a/crates/vanillakeel-entry/src/upstream.rs
+++ b/crates/vanillakeel-entry/src/upstream.rs
@@ -29,6 +29,11 @@
 };
 use vanillakeel::{
     Verdict,
+    availability::{
+        BadPause,
+        Notice,
+        Pause, //
+    },
     rate_limits::Rate, //
 };
 use vanillakeel_http::{
@@ -46,6 +51,12 @@
 /// Header in which an upstream names the requests a second that it takes from all instances together.
 const RATE_HEADER: &str = "x-rate-limit";
 
+/// Header by which an upstream says that it leaves, with the value `1`.
+const LEAVING_HEADER: &str = "x-leaving";
+
+/// Longest time for which an upstream may ask for no requests, in ms.
+const MAX_PAUSE_MS: u64 = 600_000;
+
 /// The request as it is sent to an upstream; all attempts share it.
 #[derive(Clone, Debug)]
 pub(crate) struct UpstreamRequest {
@@ -118,6 +129,7 @@
     let _ = tx.send(AttemptMessage::Head {
         attempt: attempt.id,
         rate: Rate::lowest_of(named.map(|value| value.as_bytes())),
+        notice: notice(&answer),
     });
     if upstream_request.is_model {
         read_model_answer(attempt, upstream_request, answer, tx)
@@ -126,6 +138,21 @@
     }
 }
 
+/// Returns what an answer says of whether its upstream takes further requests.
+fn notice(answer: &Response) -> Result<Notice, BadPause> {
+    let headers = answer.headers();
+    let mut leaving = headers.get_all(LEAVING_HEADER).iter();
+    let pauses = headers.get_all("retry-after").iter();
+    let pause = match answer.status().as_u16() {
+        503 => Pause::longest_of(pauses.map(|value| value.as_bytes()), MAX_PAUSE_MS)?,
+        _ => None,
+    };
+    Ok(Notice {
+        is_leaving: leaving.any(|value| value.as_bytes().trim_ascii() == b"1"),
+        pause_ms: pause.map(|p| p.ms),
+    })
+}
+
 /// Returns the verdict of a failed send.
 ///
 /// With a refused connection nothing has run; any other error may occur after the upstream has
--- a/crates/vanillakeel-standin/src/engine/answer.rs
+++ b/crates/vanillakeel-standin/src/engine/answer.rs
@@ -84,6 +84,11 @@
 /// Handles a completion request, and blocks until its answer is sent.
 pub(super) fn handle(state: &Arc<State>, mut req: Request) {
     let body = reply::read_body(&mut req);
+    if state.faults.get().pause_s.is_some() {
+        let error = json!({"error": {"message": "no requests are taken now"}});
+        json(state, req, 503, &error);
+        return;
+    }
     let completion: Completion = match serde_json::from_slice(&body) {
         Ok(completion) => completion,
         Err(e) => {
--- a/crates/vanillakeel-standin/src/engine/named_rate.rs
+++ b/crates/vanillakeel-standin/src/engine/named_rate.rs
@@ -1,4 +1,4 @@
-//! The rate limit that an engine names in its answers.
+//! What an engine says in its answers of how much it takes: a rate limit, a pause, or that it leaves.
 
 use super::state::State;
 use std::fs;
@@ -7,13 +7,23 @@
 /// Header that names the requests a second that the engine takes from all instances together.
 const RATE_HEADER: &str = "x-rate-limit";
 
-/// Returns a response head that names the rate limit, if there is one now.
+/// Header by which an engine says that it leaves.
+const LEAVING_HEADER: &str = "x-leaving";
+
+/// Returns a response head that says what the engine takes now.
 pub(super) fn response_head(state: &State, status: u16) -> ResponseHead {
-    let head = ResponseHead::new(status);
-    match named_rate(state) {
-        Some(rate) => head.header(RATE_HEADER, &rate),
-        None => head,
+    let mut head = ResponseHead::new(status);
+    if let Some(rate) = named_rate(state) {
+        head = head.header(RATE_HEADER, &rate);
+    }
+    let fault = state.faults.get();
+    if fault.leaving {
+        head = head.header(LEAVING_HEADER, "1");
+    }
+    if let Some(seconds) = fault.pause_s.filter(|_| status == 503) {
+        head = head.header("Retry-After", &seconds.to_string());
     }
+    head
 }
 
 /// Returns the rate to name: that of the faults, that in the file, or the one for a long queue.
--- a/crates/vanillakeel-standin/src/faults.rs
+++ b/crates/vanillakeel-standin/src/faults.rs
@@ -33,6 +33,10 @@
     pub stalled: bool,
     /// Requests a second that the engine names as those that it takes from all instances.
     pub rate_limit: Option<f64>,
+    /// The engine says in its answers that it leaves.
+    pub leaving: bool,
+    /// Each request is refused with the time for which the engine wants none from that instance, in seconds.
+    pub pause_s: Option<f64>,
 }
 
 impl Default for Fault {
@@ -45,6 +49,8 @@
             crashed: false,
             stalled: false,
             rate_limit: None,
+            leaving: false,
+            pause_s: None,
         }
     }
 }
--- a/crates/vanillakeel/src/router/limits.rs
+++ b/crates/vanillakeel/src/router/limits.rs
@@ -3,6 +3,7 @@
 use super::Router;
 use crate::{
     Millis, Reason, Refusal, Verdict,
+    availability::AvailabilityChange,
     division::instance_id,
     rate_limits::{
         Rate,
@@ -36,6 +37,24 @@
         Some(self.on_rate_changed(now, pool_index, changed))
     }
 
+    /// Records the pause that the head of an answer asks for, or that it asks for none; returns what has changed.
+    ///
+    /// `sent` is the time at which the request was sent.
+    pub fn on_pause(
+        &mut self,
+        now: Millis,
+        upstream: &str,
+        sent: Millis,
+        pause_ms: Option<u64>,
+    ) -> Option<AvailabilityChange> {
+        let pool_index = self.pool_of_upstream(|table| table.rate_limit(upstream).is_some())?;
+        let random = self.random.below(u64::from(u32::MAX));
+        let table = &mut self.pools[pool_index].table;
+        let change = table.on_pause(now, upstream, sent, pause_ms, random)?;
+        self.dispatch(now, pool_index);
+        Some(change)
+    }
+
     /// Applies what another instance tells of the rate of an upstream; returns what has changed.
     pub fn on_told_rate(&mut self, now: Millis, told: &ToldRate) -> Option<RateChange> {
         let is_named = |limit: &RateLimit| limit.id() == told.upstream;
--- a/crates/vanillakeel/src/routing/limited.rs
+++ b/crates/vanillakeel/src/routing/limited.rs
@@ -1,8 +1,15 @@
-//! Upstreams of a pool that name [rate limits](crate::rate_limits).
+//! Upstreams of a pool that name [rate limits](crate::rate_limits) or want [pauses](crate::availability).
 
-use super::table::Table;
+use super::table::{
+    Table,
+    Upstream, //
+};
 use crate::{
     Millis,
+    availability::{
+        AvailabilityChange,
+        Notice, //
+    },
     division::Roster,
     rate_limits::{
         Rate,
@@ -19,7 +26,35 @@
     pub(crate) previous: Option<Rate>,
 }
 
+impl Upstream {
+    /// Returns whether it takes a request by what its answers say: it has not asked for a pause, and has room under its
+    /// rate limit.
+    pub(super) fn has_room(&self, now: Millis) -> bool {
+        self.rate_limit.has_room(now) && self.availability.takes_request(now)
+    }
+}
+
 impl Table {
+    /// Records the pause that the head of an answer asks for, or that it asks for none; returns what has changed.
+    ///
+    /// `sent` is the time at which the request was sent, and `random` a random number.
+    pub(crate) fn on_pause(
+        &mut self,
+        now: Millis,
+        upstream: &str,
+        sent: Millis,
+        pause_ms: Option<u64>,
+        random: u64,
+    ) -> Option<AvailabilityChange> {
+        let index = self.find(upstream)?;
+        let notice = Notice {
+            is_leaving: false,
+            pause_ms,
+        };
+        let availability = &mut self.upstreams_mut()[index].availability;
+        availability.on_answer(now, sent, notice, random)
+    }
+
     /// Records the rate that the head of an answer names, if it names one; returns what has changed.
     ///
     /// `sent` is the time at which the request was sent.
@@ -82,13 +117,13 @@
         Some(&self.upstreams()[index].rate_limit)
     }
 
-    /// Returns whether an upstream of the own group has room under its rate limit.
+    /// Returns whether an upstream of the own group has room by what its answers say.
     pub(crate) fn has_rate_room(&self, now: Millis) -> bool {
         let mut usable = self
             .upstreams()
             .iter()
             .filter(|u| !u.leaving && !u.is_in_other_group);
-        usable.any(|u| u.rate_limit.has_room(now))
+        usable.any(|u| u.has_room(now))
     }
 
     /// Returns the requests a second that this instance may send, and all of them, if every upstream names a
--- a/crates/vanillakeel/src/routing/table.rs
+++ b/crates/vanillakeel/src/routing/table.rs
@@ -7,6 +7,7 @@
 };
 use crate::{
     Millis, Request,
+    availability::Availability,
     order::{
         self,
         Random,
@@ -93,6 +94,8 @@
     health: Health,
     prefix_hints: PrefixHints,
     pub(super) rate_limit: RateLimit,
+    /// Whether it has asked for a pause.
+    pub(super) availability: Availability,
     pub(super) leaving: bool,
     /// Whether the upstream belongs to another group than this instance.
     pub(super) is_in_other_group: bool,
@@ -166,6 +169,7 @@
                     health: Health::default(),
                     prefix_hints: PrefixHints::default(),
                     rate_limit: RateLimit::new(order::hash(name) as u32),
+                    availability: Availability::default(),
                     leaving: false,
                     is_in_other_group: false,
                 },
@@ -339,7 +343,7 @@
         let has_room = |index: &usize| {
             let u = &self.upstreams[*index];
             let limit = u.health.max_in_flight(now).min(max_per_upstream);
-            let is_below_limits = u.in_flight < limit && u.rate_limit.has_room(now);
+            let is_below_limits = u.in_flight < limit && u.has_room(now);
             u.is_in_other_group == is_in_other_group && !u.leaving && is_below_limits
         };
         let with_room: Vec<usize> = (0..self.upstreams.len()).filter(has_room).collect();
@@ -435,6 +439,7 @@
             self.upstreams[index].in_flight += 1;
             self.upstreams[index].health.on_send();
             self.upstreams[index].rate_limit.on_send(now);
+            self.upstreams[index].availability.on_send(now);
         }
     }
 
@@ -443,6 +448,7 @@
         if let Some(index) = self.find(name) {
             let u = &mut self.upstreams[index];
             u.in_flight = u.in_flight.saturating_sub(1);
+            u.availability.on_end(now, now);
             u.health.on_neutral(now);
         }
     }
@@ -464,6 +470,7 @@
         if let Some(index) = self.find(name) {
             let u = &mut self.upstreams[index];
             u.in_flight = u.in_flight.saturating_sub(1);
+            u.availability.on_end(now, now);
             u.prefix_hints.clear();
             if ejection && !matches!(u.health.max_in_flight(now), 0) {
                 u.health.eject(now);
