fix: a hub's first list of upstreams is no change to tell its members of

Cause: at its start a hub took the whole first list for changes and told its members of all of it for three seconds. At some hundred upstreams its messages are long, beyond some five hundred they don't fit into a datagram, the send fails, and members read the list from the store themselves.

Ruled out: the reading of the first list, which each start does either way, and the election of hubs.

--- a/crates/vanillakeel-ctl/src/explain.rs
+++ b/crates/vanillakeel-ctl/src/explain.rs
@@ -28,7 +28,8 @@
 ];
 
 /// Messages about changes at an instance that may explain how a request went.
-const STATE_MESSAGES: [&str; 16] = [
+const STATE_MESSAGES: [&str; 17] = [
+    "upstreams known",
     "upstream listed",
     "upstream gone",
     "upstream could not be reached",
--- a/crates/vanillakeel-entry/src/gateway/peers.rs
+++ b/crates/vanillakeel-entry/src/gateway/peers.rs
@@ -74,6 +74,10 @@
 /// Time by which the tasks that read the log go first when it is asked again after a failure, in ms.
 const ASK_DELAY_MS: u64 = 200;
 
+/// Most changes of upstreams in a message, so that it fits into a datagram. A member that misses others notices by the
+/// digest, and reads the list itself.
+const MAX_CHANGES: usize = 200;
+
 /// Largest age of the last read of the upstreams at which a hub counts as fresh, in ms: an interval of
 /// reads and a repetition of one that is late.
 pub(super) const MAX_READ_AGE_MS: u64 = 1_200;
@@ -449,13 +453,14 @@
 fn log_view(shared: &Shared, now: Millis, report_id: u64, is_fresh: bool) -> MeshSummary {
     let in_force = shared.in_force.borrow();
     let changes = shared.recent_changes.borrow();
+    let newest = changes.iter().rev().take(MAX_CHANGES);
     MeshSummary {
         report_id,
         fresh: is_fresh,
         version: in_force.version(),
         proof_age: in_force.confirmation_age_ms(now).unwrap_or(u64::MAX),
         digest: shared.fleet.borrow().digest(),
-        changes: changes.iter().map(|(_, c)| change_to_wire(c)).collect(),
+        changes: newest.map(|(_, c)| change_to_wire(c)).collect(),
         log_era: shared.log_era(),
         ..MeshSummary::default()
     }
--- a/crates/vanillakeel-entry/src/gateway/shared.rs
+++ b/crates/vanillakeel-entry/src/gateway/shared.rs
@@ -533,6 +533,11 @@
         }
     }
 
+    /// Adds an upstream of the first list that this process has read, which is no change to tell of.
+    pub(super) fn on_first_listed(&self, listed: &ListedUpstream) -> bool {
+        self.fleet.borrow_mut().on_listed(listed)
+    }
+
     /// Adds or updates an upstream that discovery shows; returns whether anything has changed.
     pub(super) fn on_listed(&self, listed: &ListedUpstream) -> bool {
         let has_changed = self.fleet.borrow_mut().on_listed(listed);
--- a/crates/vanillakeel-entry/src/gateway/watch/upstreams.rs
+++ b/crates/vanillakeel-entry/src/gateway/watch/upstreams.rs
@@ -163,7 +163,8 @@
         let has_progress = self.position.replace(next) != Some(next);
         shared.hub_differs_since.set(None);
         let skipped = if is_list { &*self.outdated } else { &[] };
-        apply_upstreams(shared, log, page, skipped, &mut self.missing);
+        let is_first = previous_era.is_none();
+        apply_upstreams(shared, log, page, skipped, &mut self.missing, is_first);
         if page.is_up_to_date {
             shared.upstreams_read_at.set(Some(asked_at));
             // Upstreams that the same page lists and removes count as seen.
@@ -201,12 +202,15 @@
 }
 
 /// Applies the entries of a page to the list of upstreams, without those that are `skipped`.
+///
+/// The first list of a process gets one line, and members are not told of its entries: they could be thousands.
 fn apply_upstreams(
     shared: &Shared,
     log: &LogAdapter,
     page: &Page,
     skipped: &[Entry],
     missing: &mut MissingUpstreams,
+    is_first: bool,
 ) {
     let mut has_changed = false;
     for entry in page.entries.iter().filter(|e| !skipped.contains(e)) {
@@ -217,13 +221,21 @@
         match (log.decode_upstream)(&entry.key, value) {
             Ok(listed) => {
                 missing.on_listed(&entry.key);
-                has_changed |= shared.on_listed(&listed);
+                has_changed |= if is_first {
+                    shared.on_first_listed(&listed)
+                } else {
+                    shared.on_listed(&listed)
+                };
             }
             Err(e) => {
                 tracing::warn!(upstream = entry.key, error = %e, "entry of an upstream skipped");
             }
         }
     }
+    if is_first {
+        let count = shared.fleet.borrow().iter().count();
+        tracing::info!(upstreams = count, "upstreams known");
+    }
     if has_changed {
         shared.fleet_changed.notify_waiters();
     }
