refactor(entry): access to the log, views of it and datagrams in files of their own

The pace of calls to the log, what instances tell each other of its contents, and the sending of datagrams stand in files of their own now. Code was moved, nothing decided anew; texts, streams and log_views no longer import peers, which imports them, so that the circle in gateway/ gets smaller by two and not larger.

--- a/crates/vanillakeel-entry/src/gateway/peers.rs
+++ b/crates/vanillakeel-entry/src/gateway/peers.rs
@@ -7,15 +7,15 @@
 
 use super::{
     crashes,
+    datagrams,
     log_adapter::{
         Entry,
         LogAdapter,
         ReadProgress,
         Topic, //
     },
+    log_views,
     mesh_wire::{
-        change_from_wire,
-        change_to_wire,
         crashes_from_wire,
         crashes_to_wire,
         loads_from_wire,
@@ -56,7 +56,6 @@
     generated::{
         MeshCrashes,
         MeshExchange,
-        MeshLogQuery,
         MeshMessage,
         MeshReads,
         MeshReport,
@@ -74,14 +73,6 @@
 /// Time by which the tasks that read the log go first when it is asked again after a failure, in ms.
 const ASK_DELAY_MS: u64 = 200;
 
-/// Most changes of upstreams in a message, so that it fits into a datagram. A member that misses others notices by the
-/// digest, and reads the list itself.
-const MAX_CHANGES: usize = 200;
-
-/// Largest age of the last read of the upstreams at which a hub counts as fresh, in ms: an interval of
-/// reads and a repetition of one that is late.
-pub(super) const MAX_READ_AGE_MS: u64 = 1_200;
-
 /// Exchanges messages with peers for as long as the process runs.
 pub(super) async fn run(shared: Rc<Shared>, log: LogAdapter, socket: Rc<UdpSocket>) {
     tokio::join!(
@@ -115,13 +106,13 @@
         let asked_at = shared.clock.now();
         match (log.read_newest)(Topic::Peers, after.clone(), ReadProgress::default()).await {
             Ok(page) => {
-                shared.on_log_served();
+                shared.log_access.on_served();
                 let peers = page.entries.iter().filter_map(parse_peer);
                 for peer in peers {
                     shared.mesh.borrow_mut().on_peer(&peer);
                     hear(shared, &peer.name);
                     // The message has no kind: a report would make each peer act as a hub.
-                    send_message(shared, socket, &peer, None).await;
+                    datagrams::send(shared, socket, &peer, None).await;
                 }
                 after = page.continue_after;
                 if after.is_none() {
@@ -131,7 +122,10 @@
             Err(e) => {
                 tracing::warn!(error = %e, "the addresses of peers could not be read from the log");
                 shared.on_log_failed(asked_at);
-                shared.wait_to_ask(ASK_DELAY_MS).await;
+                shared
+                    .log_access
+                    .wait_to_ask(shared.clock, ASK_DELAY_MS)
+                    .await;
             }
         }
     }
@@ -160,9 +154,12 @@
         tracing::warn!(error = %e, "the address of this instance could not be written to the log");
         (log.drop_idle)();
         shared.on_log_failed(asked_at);
-        shared.wait_to_ask(ASK_DELAY_MS).await;
+        shared
+            .log_access
+            .wait_to_ask(shared.clock, ASK_DELAY_MS)
+            .await;
     }
-    shared.on_log_served();
+    shared.log_access.on_served();
 }
 
 /// Announces to the hubs that this instance is stopping, tells the keepers of streams what it knows, and
@@ -177,7 +174,7 @@
         hubs
     };
     for peer in hubs {
-        send_message(shared, socket, &peer, Kind::Leaving(true)).await;
+        datagrams::send(shared, socket, &peer, Kind::Leaving(true)).await;
     }
     let key = shared.mesh.borrow().me().name.to_string();
     let entry = Entry { key, value: None };
@@ -212,7 +209,7 @@
         let hub = shared.mesh.borrow().hub(now).cloned();
         if let Some(hub) = hub {
             shared.mesh.borrow_mut().on_sent(now, &hub.name);
-            send_message(shared, socket, &hub, load_report(shared)).await;
+            datagrams::send(shared, socket, &hub, load_report(shared)).await;
         }
         // The mesh remembers the largest number from report to report.
         let sharing = shared.mesh.borrow_mut().sharing_instances(now).unwrap_or(0);
@@ -221,23 +218,11 @@
         shared.fleet.borrow_mut().set_extrapolation_factor(factor);
         if shared.mesh.borrow().is_hub(now) {
             exchange_totals(shared, socket, now).await;
-            query_log_reader(shared, socket, now).await;
+            log_views::query_reader(shared, socket, now).await;
         }
     }
 }
 
-/// Asks a member what the log holds while the log does not serve this hub.
-async fn query_log_reader(shared: &Shared, socket: &UdpSocket, now: Millis) {
-    if !shared.is_log_failing() {
-        return;
-    }
-    let reader = shared.mesh.borrow_mut().log_reader(now);
-    if let Some(reader) = reader {
-        let id = shared.report_ids.id(now);
-        send_message(shared, socket, &reader, Kind::LogQuery(MeshLogQuery { id })).await;
-    }
-}
-
 /// Updates the gauges that show the state of the mesh.
 fn update_metrics(shared: &Shared, now: Millis) {
     let mesh = shared.mesh.borrow();
@@ -271,7 +256,7 @@
             rates: rate_limits::to_wire(shared, now),
             roster: rate_limits::roster_for(shared, now, &peer.name, Scope::OwnDataCentre),
         };
-        send_message(shared, socket, &peer, Kind::Exchange(message)).await;
+        datagrams::send(shared, socket, &peer, Kind::Exchange(message)).await;
     }
     let mut remote = members;
     remote.merge(&shared.mesh.borrow().other_data_centres(now).0);
@@ -292,44 +277,6 @@
     })
 }
 
-/// Sends a message to a peer; a message without a kind only introduces this instance.
-async fn send_message(
-    shared: &Shared,
-    socket: &UdpSocket,
-    peer: &Peer,
-    kind: impl Into<Option<Kind>>,
-) {
-    let message = encode_message(shared, kind.into());
-    let sent = socket.send_to(&message, peer.address).await;
-    if let Err(e) = sent {
-        tracing::debug!(peer = %peer.name, error = %e, "datagram could not be sent");
-    }
-}
-
-/// Sends a message to a peer now; it is lost if the socket can't take it, as a datagram may be.
-pub(super) fn try_send(shared: &Shared, peer: &Peer, kind: Kind) {
-    let socket = shared.mesh_socket.borrow();
-    let Some(socket) = &*socket else {
-        return;
-    };
-    let message = encode_message(shared, kind.into());
-    if let Err(e) = socket.try_send_to(&message, peer.address) {
-        tracing::debug!(peer = %peer.name, error = %e, "datagram could not be sent");
-    }
-}
-
-/// Encodes a message of this instance.
-fn encode_message(shared: &Shared, kind: Option<Kind>) -> Vec<u8> {
-    let mesh = shared.mesh.borrow();
-    let message = MeshMessage {
-        from: mesh.me().name.to_string(),
-        data_centre: mesh.me().data_centre.to_string(),
-        link_mbps: mesh.me().link_mbps,
-        kind,
-    };
-    message.encode_to_vec()
-}
-
 /// Receives datagrams for as long as the process runs.
 async fn receive_datagrams(shared: &Shared, socket: &UdpSocket) {
     let mut buf = vec![0; MAX_DATAGRAM_BYTES];
@@ -385,7 +332,7 @@
             };
             if is_same_data_centre && shared.stopping_since.get().is_none() {
                 let summary = summary(shared, now, name, report.id);
-                send_message(shared, socket, &peer, Kind::Summary(summary)).await;
+                datagrams::send(shared, socket, &peer, Kind::Summary(summary)).await;
             }
         }
         Some(Kind::Exchange(exchange)) => {
@@ -401,16 +348,16 @@
         Some(Kind::Summary(summary)) => on_summary(shared, now, name, &summary),
         Some(Kind::LogQuery(query)) => {
             shared.mesh.borrow_mut().on_log_query(now);
-            let view = log_view(shared, now, query.id, has_read_log(shared, now));
-            send_message(shared, socket, &peer, Kind::LogView(view)).await;
+            let view = log_views::view(shared, now, query.id, log_views::has_read_log(shared, now));
+            datagrams::send(shared, socket, &peer, Kind::LogView(view)).await;
         }
         Some(Kind::TextQuery(query)) => texts::on_query(shared, &peer, &query),
         Some(Kind::TextPart(part)) => texts::on_part(shared, &part),
-        Some(Kind::LogView(view)) => on_log_view(shared, now, name, &view),
+        Some(Kind::LogView(view)) => log_views::on_view(shared, now, name, &view),
         Some(Kind::Streams(told)) => streams::on_told(shared, &told),
         Some(Kind::StreamQuery(query)) => {
             let answer = streams::answer(shared, &query);
-            send_message(shared, socket, &peer, Kind::StreamAnswer(answer)).await;
+            datagrams::send(shared, socket, &peer, Kind::StreamAnswer(answer)).await;
         }
         Some(Kind::StreamAnswer(answer)) => streams::on_answer(shared, name, &answer),
         Some(Kind::Leaving(_)) | None => {}
@@ -437,7 +384,7 @@
         loads.merge(&others);
         (loads, own_instances + other_instances)
     };
-    let is_fresh = has_read_log(shared, now) || has_relayed_log(shared, now);
+    let is_fresh = log_views::has_read_log(shared, now) || log_views::has_relayed_log(shared, now);
     MeshSummary {
         loads: Some(loads_to_wire(&loads)),
         instances,
@@ -445,47 +392,10 @@
         crashes: crashes_to_wire(&shared.quarantine.borrow().evidence(now)),
         rates: rate_limits::to_wire(shared, now),
         roster: rate_limits::roster_for(shared, now, member, Scope::All),
-        ..log_view(shared, now, report_id, is_fresh)
-    }
-}
-
-/// Creates the part of a summary that tells what the log holds.
-fn log_view(shared: &Shared, now: Millis, report_id: u64, is_fresh: bool) -> MeshSummary {
-    let in_force = shared.in_force.borrow();
-    let changes = shared.recent_changes.borrow();
-    let newest = changes.iter().rev().take(MAX_CHANGES);
-    MeshSummary {
-        report_id,
-        fresh: is_fresh,
-        version: in_force.version(),
-        proof_age: in_force.confirmation_age_ms(now).unwrap_or(u64::MAX),
-        digest: shared.fleet.borrow().digest(),
-        changes: newest.map(|(_, c)| change_to_wire(c)).collect(),
-        log_era: shared.log_era(),
-        ..MeshSummary::default()
+        ..log_views::view(shared, now, report_id, is_fresh)
     }
 }
 
-/// Returns whether this instance has recently read the log itself.
-fn has_read_log(shared: &Shared, now: Millis) -> bool {
-    let read_at = shared.upstreams_read_at.get();
-    let was_read_recently = read_at.is_some_and(|t| now.since(t) < MAX_READ_AGE_MS);
-    was_read_recently && is_confirmed(shared, now) && !shared.in_force.borrow().has_failed_read()
-}
-
-/// Returns whether a member has recently read the log for this hub, and knows the same upstreams.
-fn has_relayed_log(shared: &Shared, now: Millis) -> bool {
-    let has_same_upstreams = shared.hub_differs_since.get().is_none();
-    has_same_upstreams && is_confirmed(shared, now) && shared.mesh.borrow().has_log_view(now)
-}
-
-/// Returns whether the version in force was confirmed so recently that members may rely on it.
-fn is_confirmed(shared: &Shared, now: Millis) -> bool {
-    let max_age_ms = shared.settings.borrow().timing.hub_confirmation_ms();
-    let age_ms = shared.in_force.borrow().confirmation_age_ms(now);
-    age_ms.is_some_and(|age| age < max_age_ms)
-}
-
 /// Applies the answer of a hub; log contents only count if the hub is fresh.
 fn on_summary(shared: &Shared, now: Millis, hub: &Arc<str>, summary: &MeshSummary) {
     let Some(sent_at) = shared.report_ids.sent_at(summary.report_id, now) else {
@@ -505,69 +415,7 @@
     shared.roster.borrow_mut().on_heard(now, &summary.roster);
     let loads = loads_from_wire(summary.loads.as_ref());
     shared.fleet.borrow_mut().set_remote(&loads);
-    apply_log_view(shared, now, hub, summary, is_fresh.then_some(sent_at));
-}
-
-/// Applies the answer of a member that reads the log for this hub.
-fn on_log_view(shared: &Shared, now: Millis, member: &Arc<str>, view: &MeshSummary) {
-    let Some(sent_at) = shared.report_ids.sent_at(view.report_id, now) else {
-        shared.metrics.bad_datagrams.inc();
-        return;
-    };
-    let is_fresh = view.fresh && view.log_era >= shared.log_era();
-    shared.mesh.borrow_mut().on_log_view(now, member, is_fresh);
-    shared.has_relayed_changes.set(true);
-    apply_log_view(shared, now, member, view, is_fresh.then_some(sent_at));
-}
-
-/// Applies what another instance has read from the log; `asked_at` is the time at which it was asked, if its view is
-/// fresh.
-fn apply_log_view(
-    shared: &Shared,
-    now: Millis,
-    reader: &Arc<str>,
-    summary: &MeshSummary,
-    asked_at: Option<Millis>,
-) {
-    shared.on_announced(summary.version, reader);
-    if summary.log_era > shared.log_era() {
-        // The log itself shows its era to the task that reads the configuration.
-        shared.newer_version.notify_one();
-    }
-    let Some(asked_at) = asked_at else {
-        return;
-    };
-    confirm_version(shared, summary, asked_at, reader);
-    let changes = summary.changes.iter().filter_map(change_from_wire);
-    let mut has_changed = false;
-    for change in changes {
-        if change.is_removed {
-            shared.on_removed(&change.listed.name);
-        } else {
-            has_changed |= shared.on_listed(&change.listed);
-        }
-    }
-    if has_changed {
-        shared.fleet_changed.notify_waiters();
-    }
-    let is_equal = shared.fleet.borrow().digest() == summary.digest;
-    let differs_since = (!is_equal).then(|| shared.hub_differs_since.get().unwrap_or(now));
-    shared.hub_differs_since.set(differs_since);
-}
-
-/// Confirms the version in force if the hub has confirmed the same version as the newest.
-///
-/// The hub measures the age of its confirmation when it receives the report, which is after `sent_at`,
-/// the time at which the report was sent from here. `sent_at` minus the age is therefore never later
-/// than the hub's confirmation, whatever the delays of the datagrams. A confirmation from before the
-/// start of this instance is ignored.
-fn confirm_version(shared: &Shared, summary: &MeshSummary, sent_at: Millis, hub: &Arc<str>) {
-    if shared.in_force.borrow().version() != summary.version {
-        return;
-    }
-    if let Some(read_at) = sent_at.checked_minus(summary.proof_age) {
-        shared.confirm_newest(read_at, hub);
-    }
+    log_views::apply(shared, now, hub, summary, is_fresh.then_some(sent_at));
 }
 
 /// Encodes the prompt segments that upstreams have recently computed.
--- a/crates/vanillakeel-entry/src/gateway/shared.rs
+++ b/crates/vanillakeel-entry/src/gateway/shared.rs
@@ -15,6 +15,7 @@
         Kind,
         LineLimiter, //
     },
+    log_access::LogAccess,
     metrics::Metrics,
     request::RoutedRequest,
     settings::Settings,
@@ -41,10 +42,7 @@
 };
 use vanillakeel::{
     Millis,
-    ask_pace::{
-        AskPace,
-        Asker, //
-    },
+    ask_pace::Asker,
     attempt::{
         WindowBudget,
         WindowSettings, //
@@ -176,12 +174,8 @@
     standing_changed: Notify,
     /// Latest era of the log that an answer has shown, or `None` before the first answer.
     log_era: Cell<Option<u64>>,
-    /// When the log is asked again after calls have failed.
-    ask_pace: RefCell<AskPace>,
-    /// Wakes the tasks that read or write the log when it serves this instance again.
-    log_serves: Notify,
-    /// Whether the log has not served a call since the upstreams were read last.
-    pub(super) was_log_lost: Cell<bool>,
+    /// How the log serves this instance.
+    pub(super) log_access: LogAccess,
     /// Wakes the tasks that read or write the log when its era has risen.
     pub(super) era_risen: Notify,
     /// Recent checks whether upstreams have crashed.
@@ -252,9 +246,7 @@
             confirmed_by: RefCell::new(Arc::from("")),
             standing_changed: Notify::new(),
             log_era: Cell::new(None),
-            ask_pace: RefCell::default(),
-            log_serves: Notify::new(),
-            was_log_lost: Cell::new(false),
+            log_access: LogAccess::default(),
             era_risen: Notify::new(),
             crash_checks: RefCell::default(),
             quarantine: RefCell::new(Quarantine::new(quarantine)),
@@ -395,20 +387,6 @@
         self.removed_upstreams.borrow().contains(listed)
     }
 
-    /// Records that the log has served a call of this instance.
-    pub(super) fn on_log_served(&self) {
-        let mut ask_pace = self.ask_pace.borrow_mut();
-        if ask_pace.is_failing() {
-            ask_pace.on_answer();
-            self.log_serves.notify_waiters();
-        }
-    }
-
-    /// Returns whether the log has not served the last call of this instance.
-    pub(super) fn is_log_failing(&self) -> bool {
-        self.ask_pace.borrow().is_failing()
-    }
-
     /// Records that the log has not served a call of this instance that was made at `asked_at`.
     pub(super) fn on_log_failed(&self, asked_at: Millis) {
         let now = self.clock.now();
@@ -418,36 +396,8 @@
         } else {
             Asker::Hub
         };
-        self.was_log_lost.set(true);
         let random = self.fleet.borrow_mut().next_random();
-        self.ask_pace
-            .borrow_mut()
-            .on_failure(asked_at, asker, random);
-    }
-
-    /// Waits until the log may be asked again, `delay_ms` later than others may, or until it has served another
-    /// call of this instance.
-    ///
-    /// Returns at once unless the last call has failed. Of several tasks that wait, one asks at a time.
-    pub(super) async fn wait_to_ask(&self, delay_ms: u64) {
-        loop {
-            let served = self.log_serves.notified();
-            let wait_ms = {
-                let ask_pace = self.ask_pace.borrow();
-                if !ask_pace.is_failing() {
-                    return;
-                }
-                ask_pace.wait_ms(self.clock.now())
-            };
-            let pause = Duration::from_millis(wait_ms + delay_ms);
-            if timeout(pause, served).await.is_ok() {
-                return;
-            }
-            let mut ask_pace = self.ask_pace.borrow_mut();
-            if ask_pace.take_turn(self.clock.now()) {
-                return;
-            }
-        }
+        self.log_access.on_failed(asked_at, asker, random);
     }
 
     /// Records that the configuration could not be read on a new connection.
--- a/crates/vanillakeel-entry/src/gateway/streams.rs
+++ b/crates/vanillakeel-entry/src/gateway/streams.rs
@@ -6,8 +6,8 @@
 
 use super::{
     answer::Refusal,
+    datagrams,
     lines::Kind,
-    peers,
     request::RoutedRequest,
     shared::Shared, //
 };
@@ -103,7 +103,7 @@
     });
     let keepers = shared.mesh.borrow().keepers(stream);
     for keeper in keepers {
-        peers::try_send(shared, &keeper, message.clone());
+        datagrams::try_send(shared, &keeper, message.clone());
     }
 }
 
@@ -126,12 +126,12 @@
             told.software.push(software.to_owned());
             if told.streams.len() == MAX_STREAMS_PER_DATAGRAM {
                 let told = std::mem::take(told);
-                peers::try_send(shared, keeper, Message::Streams(told));
+                datagrams::try_send(shared, keeper, Message::Streams(told));
             }
         }
     }
     for (keeper, told) in messages {
-        peers::try_send(shared, &keeper, Message::Streams(told));
+        datagrams::try_send(shared, &keeper, Message::Streams(told));
     }
 }
 
@@ -242,7 +242,7 @@
     });
     for _ in 0..MAX_QUERIES {
         for keeper in &keepers {
-            peers::try_send(shared, keeper, question.clone());
+            datagrams::try_send(shared, keeper, question.clone());
         }
         let due = Duration::from_millis(ANSWER_DUE_MS);
         match timeout(due, lookup.known_or_over()).await {
--- a/crates/vanillakeel-entry/src/gateway/texts.rs
+++ b/crates/vanillakeel-entry/src/gateway/texts.rs
@@ -6,7 +6,7 @@
 //! what it reads itself, apart from the confirmation that it is the newest, which only the hub's summaries give.
 
 use super::{
-    peers,
+    datagrams,
     shared::Shared, //
 };
 use bytes::Bytes;
@@ -67,7 +67,7 @@
             part: part.part,
             data: part.data.to_vec(),
         };
-        peers::try_send(shared, peer, Kind::TextPart(message));
+        datagrams::try_send(shared, peer, Kind::TextPart(message));
     }
 }
 
@@ -110,7 +110,7 @@
         let mut missing = shared.text_assembly.borrow().as_ref()?.missing();
         missing.truncate(MAX_ASKED);
         let last = missing.last().map_or(MAX_ASKED as u32 - 1, |last| *last);
-        peers::try_send(
+        datagrams::try_send(
             shared,
             peer,
             Kind::TextQuery(MeshTextQuery { version, missing }),
--- a/crates/vanillakeel-entry/src/gateway/watch.rs
+++ b/crates/vanillakeel-entry/src/gateway/watch.rs
@@ -79,7 +79,7 @@
         if error.is_some() {
             shared.on_log_failed(asked_at);
         } else {
-            shared.on_log_served();
+            shared.log_access.on_served();
         }
         if let Some(e) = error {
             shared.metrics.source_errors.inc();
--- a/crates/vanillakeel-entry/src/gateway/watch/configuration.rs
+++ b/crates/vanillakeel-entry/src/gateway/watch/configuration.rs
@@ -131,7 +131,7 @@
             Err(_) => {
                 // A newer version shows that the log serves others.
                 tokio::select! {
-                    () = shared.wait_to_ask(0) => {}
+                    () = shared.log_access.wait_to_ask(shared.clock, 0) => {}
                     () = shared.newer_version.notified() => {}
                 }
             }
--- a/crates/vanillakeel-entry/src/gateway/watch/upstreams.rs
+++ b/crates/vanillakeel-entry/src/gateway/watch/upstreams.rs
@@ -18,7 +18,7 @@
             self,
             ReadRequest, //
         },
-        peers::MAX_READ_AGE_MS,
+        log_views::MAX_READ_AGE_MS,
         shared::Shared,
     },
     COVERED_POLL_MS,
@@ -57,7 +57,10 @@
     loop {
         // After a failure this waits for its turn, and a hub may supply the list by then.
         if !list.is_kept_by_hub(&shared) {
-            shared.wait_to_ask(ASK_DELAY_MS).await;
+            shared
+                .log_access
+                .wait_to_ask(shared.clock, ASK_DELAY_MS)
+                .await;
         }
         let pause_ms = if !is_asked && list.is_kept_by_hub(&shared) {
             let seen_at = shared.clock.now().minus(MAX_HUB_VIEW_AGE_MS);
@@ -146,7 +149,7 @@
         let timing = shared.settings.borrow().timing;
         let relisted_at = now.plus(timing.relisted_ms);
         // During an outage only one task asks, so that no read of the upstreams may have failed.
-        if shared.was_log_lost.take() {
+        if shared.log_access.was_lost.take() {
             self.missing.on_outage_over(relisted_at);
         }
         let is_list = self.position.is_none();
