test: budgets that were saved up before kills, and callers who move

The schedules of the budget had failures at each step with the same probability, so no instance ever had saved up a window's retries when it was killed or its callers left. Phases without failures, with failures always, bursts and uneven callers stand beside the old one; requests are counted as callers send them, retries as instances take them.

--- a/crates/vanillakeel-bench/src/faults/budgets.rs
+++ b/crates/vanillakeel-bench/src/faults/budgets.rs
@@ -1,12 +1,15 @@
 //! Schedules that check the bound on retries that all instances share.
 //!
-//! Instances take as many retries as their part of the budget allows, while they are killed, join, leave and
-//! are cut off from each other. A count over all of them, from outside, checks the bound in every window.
+//! Callers send requests to instances that are killed, join, leave and are cut off from each other, and
+//! callers move from one instance to another. After calm times, in which nothing fails, instances take as many
+//! retries as their part of the budget allows. The upstreams count, in every window, the requests that reach
+//! them beyond the first copy of each.
 
 use super::{
     Guards,
     meshed::{
         Contents,
+        INSTANCES,
         Meshed,
         Process,
         STEP_MS, //
@@ -19,13 +22,18 @@
         WindowBudget,
         WindowSettings, //
     },
+    order::Random,
 };
 
 /// Steps in the window of the budget.
 const WINDOW_STEPS: usize = 100;
 
-/// Most requests that an instance gets in a step.
-const MAX_REQUESTS: u64 = 4;
+/// Requests that callers send in a step, and in a step of a burst.
+const REQUESTS: u64 = 14;
+const BURST_REQUESTS: u64 = 40;
+
+/// Longest time for which callers keep to their instances, and requests fail or do not, in steps.
+const MAX_PHASE_STEPS: u64 = 150;
 
 /// Bound on the retries of all instances together.
 const BUDGET: WindowSettings = WindowSettings {
@@ -68,6 +76,49 @@
     }
 }
 
+/// When the requests of a phase fail.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Failures {
+    Never,
+    Sometimes,
+    Always,
+}
+
+/// What callers and upstreams do for some time.
+struct Phase {
+    steps_left: u64,
+    failures: Failures,
+    requests: u64,
+    /// Weight of each instance in the choice of the callers.
+    weights: [u64; INSTANCES],
+}
+
+impl Phase {
+    fn draw(random: &mut Random) -> Self {
+        let failures = match random.below(4) {
+            0 => Failures::Never,
+            1 => Failures::Sometimes,
+            _ => Failures::Always,
+        };
+        let is_burst = random.below(4) == 0;
+        let is_even = random.below(2) == 0;
+        Self {
+            steps_left: 1 + random.below(MAX_PHASE_STEPS),
+            failures,
+            requests: if is_burst { BURST_REQUESTS } else { REQUESTS },
+            weights: std::array::from_fn(|_| if is_even { 1 } else { random.below(4) }),
+        }
+    }
+
+    fn has_failures(&self, random: &mut Random) -> bool {
+        match self.failures {
+            Failures::Never => false,
+            Failures::Sometimes => random.below(10) < 7,
+            Failures::Always => true,
+        }
+    }
+}
+
 /// Runs a schedule of `steps` steps and returns its counts.
 pub(super) fn run(seed: u64, steps: u64, guards: Guards) -> ScheduleCounts {
     let contents: Contents<WindowBudget, ()> = Contents {
@@ -82,10 +133,15 @@
     let mut meshed = Meshed::new(seed, steps, contents);
     let (mut requests, mut retries) = (History::default(), History::default());
     let mut counts = ScheduleCounts::default();
+    let mut phase = Phase::draw(&mut meshed.random);
     for _ in 0..steps {
         meshed.step();
-        let (asked, repeated) = serve(&mut meshed, guards);
-        requests.push(asked);
+        if phase.steps_left == 0 {
+            phase = Phase::draw(&mut meshed.random);
+        }
+        phase.steps_left -= 1;
+        requests.push(phase.requests);
+        let repeated = serve(&mut meshed, &phase, guards);
         retries.push(repeated);
         counts.retries += repeated;
         let before = [0, WINDOW_STEPS / 2, WINDOW_STEPS].map(|ago| requests.window(ago));
@@ -107,25 +163,46 @@
     WindowBudget::new(spent, slack_from)
 }
 
-/// Takes the requests of a step, and all retries that are allowed; returns the number of both.
-fn serve(meshed: &mut Meshed<WindowBudget, ()>, guards: Guards) -> (u64, u64) {
+/// Hands the requests of a step to instances, and takes all retries that are allowed if they fail; returns
+/// their number.
+fn serve(meshed: &mut Meshed<WindowBudget, ()>, phase: &Phase, guards: Guards) -> u64 {
     let now = meshed.now;
-    let is_storm = meshed.random.below(10) < 7;
-    let (mut requests, mut retries) = (0, 0);
-    for instance in &mut meshed.instances {
-        let arrived = meshed.random.below(MAX_REQUESTS + 1);
-        let Ok(process) = &mut instance.process else {
-            continue;
-        };
-        for _ in 0..arrived {
+    for _ in 0..phase.requests {
+        if let Some(process) = choose_process(meshed, &phase.weights) {
             process.contents.on_request(now);
         }
-        requests += arrived;
-        while is_storm && take_retry(process, now, guards) {
-            retries += 1;
+    }
+    if !phase.has_failures(&mut meshed.random) {
+        return 0;
+    }
+    let running = meshed.instances.iter_mut();
+    let running = running.filter_map(|i| i.process.as_mut().ok());
+    let taken = running.map(|process| {
+        let retries = std::iter::repeat_with(|| take_retry(process, now, guards));
+        retries.take_while(|is_allowed| *is_allowed).count() as u64
+    });
+    taken.sum()
+}
+
+/// Returns the running process that a caller chooses, by the weights of the instances.
+fn choose_process<'a>(
+    meshed: &'a mut Meshed<WindowBudget, ()>,
+    weights: &[u64; INSTANCES],
+) -> Option<&'a mut Process<WindowBudget>> {
+    let random = meshed.random.below(u64::MAX);
+    let running = meshed.instances.iter_mut().zip(weights);
+    let running: Vec<_> = running
+        .filter_map(|(i, weight)| Some((i.process.as_mut().ok()?, *weight)))
+        .collect();
+    let total: u64 = running.iter().map(|(_, weight)| weight).sum();
+    let mut at = random.checked_rem(total)?;
+    for (process, weight) in running {
+        if at < weight {
+            return Some(process);
         }
+        at -= weight;
     }
-    (requests, retries)
+    None
 }
 
 /// Takes a retry from the budget of an instance; returns whether it was allowed.
