fix: requests earn retries once, also after kills and moves of callers

Cause: an instance's window of requests earns retries that may be spent in a moment. If the process then ends, or its callers move, the requests that go on at a successor or another instance earn the ratio again, within a window of the retries that are spent already. The slack was guarded against this, the ratio was not. Class: a limit over time, divided by place, whose parts are counted at places that change.

Ruled out: sends that are not booked (each send after the first is, read in the code); slack handed out twice (guarded, schedule slack_again).

Fix: requests earn the ratio only up to the number of the window before; further ones share the tenth that the parts leave. For a flow of requests that moves, the sum over both places is then at most what one of them earns.

Schedules now leave instances well for some time, since budgets can't be saved up by processes that end every few seconds.

--- a/crates/vanillakeel-bench/src/faults/budgets.rs
+++ b/crates/vanillakeel-bench/src/faults/budgets.rs
@@ -2,8 +2,8 @@
 //!
 //! Callers send requests to instances that are killed, join, leave and are cut off from each other, and
 //! callers move from one instance to another. After calm times, in which nothing fails, instances take as many
-//! retries as their part of the budget allows. The upstreams count, in every window, the requests that reach
-//! them beyond the first copy of each.
+//! retries as their part of the budget allows. A count over all of them, from outside, checks the bound in every
+//! window.
 
 use super::{
     Guards,
@@ -32,12 +32,21 @@
 const REQUESTS: u64 = 14;
 const BURST_REQUESTS: u64 = 40;
 
-/// Longest time for which callers keep to their instances, and requests fail or do not, in steps.
-const MAX_PHASE_STEPS: u64 = 150;
+/// Longest time for which callers keep to their instances, in steps.
+const MAX_CALLER_STEPS: u64 = 400;
+
+/// Time after which instances get faults, and time for which they do, in steps: they have budgets to lose only if
+/// they were well for some time.
+const CALM_STEPS: u64 = 250;
+const FAULT_STEPS: u64 = 80;
+
+/// Longest time for which requests fail or do not, in steps.
+const MAX_FAILURE_STEPS: u64 = 150;
 
 /// Bound on the retries of all instances together.
 const BUDGET: WindowSettings = WindowSettings {
     ratio: 0.2,
+    growth_ratio: 0.0,
     slack: 56.0,
     window_ms: WINDOW_STEPS as u64 * STEP_MS,
 };
@@ -45,6 +54,14 @@
 /// Share of its part of the budget that an instance spends.
 const SPENT_SHARE: f64 = 0.9;
 
+/// What an instance applies to its own requests, and to its part of the slack.
+const OWN_PART: WindowSettings = WindowSettings {
+    ratio: BUDGET.ratio * SPENT_SHARE,
+    growth_ratio: BUDGET.ratio * (1.0 - SPENT_SHARE),
+    slack: BUDGET.slack * SPENT_SHARE,
+    window_ms: BUDGET.window_ms,
+};
+
 /// Number of instances that a process without the safeguard assumes while it hears of none.
 const ASSUMED_INSTANCES: u32 = 16;
 
@@ -76,45 +93,51 @@
     }
 }
 
-/// When the requests of a phase fail.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Failures {
-    Never,
-    Sometimes,
-    Always,
-}
-
-/// What callers and upstreams do for some time.
-struct Phase {
+/// What callers do for some time.
+struct Callers {
     steps_left: u64,
-    failures: Failures,
     requests: u64,
-    /// Weight of each instance in the choice of the callers.
+    /// Weight of each instance in the choice of a caller.
     weights: [u64; INSTANCES],
 }
 
-impl Phase {
+impl Callers {
     fn draw(random: &mut Random) -> Self {
-        let failures = match random.below(4) {
-            0 => Failures::Never,
-            1 => Failures::Sometimes,
-            _ => Failures::Always,
-        };
         let is_burst = random.below(4) == 0;
         let is_even = random.below(2) == 0;
         Self {
-            steps_left: 1 + random.below(MAX_PHASE_STEPS),
-            failures,
+            steps_left: random.below(MAX_CALLER_STEPS),
             requests: if is_burst { BURST_REQUESTS } else { REQUESTS },
             weights: std::array::from_fn(|_| if is_even { 1 } else { random.below(4) }),
         }
     }
 
-    fn has_failures(&self, random: &mut Random) -> bool {
-        match self.failures {
-            Failures::Never => false,
-            Failures::Sometimes => random.below(10) < 7,
-            Failures::Always => true,
+    fn step(&mut self, random: &mut Random) {
+        match self.steps_left.checked_sub(1) {
+            Some(left) => self.steps_left = left,
+            None => *self = Self::draw(random),
+        }
+    }
+}
+
+/// Whether the requests of a step fail.
+struct Failures {
+    steps_left: u64,
+    percent: u64,
+}
+
+impl Failures {
+    fn draw(random: &mut Random) -> Self {
+        Self {
+            steps_left: random.below(MAX_FAILURE_STEPS),
+            percent: [0, 70, 100, 100][random.below(4) as usize],
+        }
+    }
+
+    fn step(&mut self, random: &mut Random) {
+        match self.steps_left.checked_sub(1) {
+            Some(left) => self.steps_left = left,
+            None => *self = Self::draw(random),
         }
     }
 }
@@ -122,10 +145,12 @@
 /// Runs a schedule of `steps` steps and returns its counts.
 pub(super) fn run(seed: u64, steps: u64, guards: Guards) -> ScheduleCounts {
     let contents: Contents<WindowBudget, ()> = Contents {
-        start: if guards.starts_without_slack {
-            |now, _, _| new_budget(now.plus(BUDGET.window_ms))
+        start: if !guards.starts_without_slack {
+            |_, _, _| WindowBudget::new(OWN_PART, Millis::ZERO)
+        } else if !guards.counts_earlier_window {
+            |now, _, _| new_budget(now, OWN_PART.ratio)
         } else {
-            |_, _, _| new_budget(Millis::ZERO)
+            |now, _, _| new_budget(now, OWN_PART.growth_ratio)
         },
         tell: |_, _, _, _| (),
         hear: |_, _, _, _, ()| (),
@@ -133,15 +158,20 @@
     let mut meshed = Meshed::new(seed, steps, contents);
     let (mut requests, mut retries) = (History::default(), History::default());
     let mut counts = ScheduleCounts::default();
-    let mut phase = Phase::draw(&mut meshed.random);
-    for _ in 0..steps {
+    let mut callers = Callers::draw(&mut meshed.random);
+    let mut failures = Failures::draw(&mut meshed.random);
+    for step in 0..steps {
+        meshed.is_calm = step % (CALM_STEPS + FAULT_STEPS) < CALM_STEPS;
         meshed.step();
-        if phase.steps_left == 0 {
-            phase = Phase::draw(&mut meshed.random);
-        }
-        phase.steps_left -= 1;
-        requests.push(phase.requests);
-        let repeated = serve(&mut meshed, &phase, guards);
+        callers.step(&mut meshed.random);
+        failures.step(&mut meshed.random);
+        requests.push(callers.requests);
+        hand_over(&mut meshed, &callers);
+        let repeated = if meshed.random.below(100) < failures.percent {
+            repeat(&mut meshed, guards)
+        } else {
+            0
+        };
         retries.push(repeated);
         counts.retries += repeated;
         let before = [0, WINDOW_STEPS / 2, WINDOW_STEPS].map(|ago| requests.window(ago));
@@ -154,27 +184,27 @@
     counts
 }
 
-fn new_budget(slack_from: Millis) -> WindowBudget {
-    let spent = WindowSettings {
-        ratio: BUDGET.ratio * SPENT_SHARE,
-        slack: BUDGET.slack * SPENT_SHARE,
-        ..BUDGET
+fn new_budget(now: Millis, growth_ratio: f64) -> WindowBudget {
+    let settings = WindowSettings {
+        growth_ratio,
+        ..OWN_PART
     };
-    WindowBudget::new(spent, slack_from)
+    WindowBudget::new(settings, now.plus(BUDGET.window_ms))
 }
 
-/// Hands the requests of a step to instances, and takes all retries that are allowed if they fail; returns
-/// their number.
-fn serve(meshed: &mut Meshed<WindowBudget, ()>, phase: &Phase, guards: Guards) -> u64 {
+/// Hands the requests of a step to instances.
+fn hand_over(meshed: &mut Meshed<WindowBudget, ()>, callers: &Callers) {
     let now = meshed.now;
-    for _ in 0..phase.requests {
-        if let Some(process) = choose_process(meshed, &phase.weights) {
+    for _ in 0..callers.requests {
+        if let Some(process) = choose_process(meshed, &callers.weights) {
             process.contents.on_request(now);
         }
     }
-    if !phase.has_failures(&mut meshed.random) {
-        return 0;
-    }
+}
+
+/// Takes all retries that the budgets allow; returns their number.
+fn repeat(meshed: &mut Meshed<WindowBudget, ()>, guards: Guards) -> u64 {
+    let now = meshed.now;
     let running = meshed.instances.iter_mut();
     let running = running.filter_map(|i| i.process.as_mut().ok());
     let taken = running.map(|process| {
--- a/crates/vanillakeel-bench/src/faults/claims.rs
+++ b/crates/vanillakeel-bench/src/faults/claims.rs
@@ -67,6 +67,8 @@
     pub counts_unheard: bool,
     /// A process takes nothing of the slack in its first window.
     pub starts_without_slack: bool,
+    /// Requests count in full for the retry budget only as far as the window before had them too.
+    pub counts_earlier_window: bool,
     /// Instances tell each other of crashes.
     pub shares_crashes: bool,
     /// The rate of an upstream is divided over instances.
@@ -89,6 +91,7 @@
             dates_reads: true,
             counts_unheard: true,
             starts_without_slack: true,
+            counts_earlier_window: true,
             shares_crashes: true,
             divides_rates: true,
             counts_silent: true,
--- a/crates/vanillakeel-bench/src/faults/meshed.rs
+++ b/crates/vanillakeel-bench/src/faults/meshed.rs
@@ -77,6 +77,8 @@
     pub(super) random: Random,
     pub(super) now: Millis,
     pub(super) instances: Vec<Instance<P>>,
+    /// Whether no fault is injected for now.
+    pub(super) is_calm: bool,
     peers: Vec<Peer>,
     contents: Contents<P, M>,
 }
@@ -101,6 +103,7 @@
             random: Random::new(seed),
             now: Millis::ZERO,
             instances: (0..INSTANCES).map(instance).collect(),
+            is_calm: false,
             peers: (0..INSTANCES).map(peer).collect(),
             contents,
         };
@@ -121,7 +124,9 @@
                 self.boot(index);
             }
         }
-        self.inject_fault();
+        if !self.is_calm {
+            self.inject_fault();
+        }
         for index in 0..INSTANCES {
             self.report(index);
         }
--- a/crates/vanillakeel-entry/src/gateway/shared.rs
+++ b/crates/vanillakeel-entry/src/gateway/shared.rs
@@ -105,8 +105,8 @@
 /// The repetition makes up for lost datagrams.
 const CHANGE_ANNOUNCED_MS: u64 = 3_000;
 
-/// Share of its part of a retry budget that one of several instances spends. The rest covers retries that arrive later
-/// than they are taken, and requests whose number peaks at different times at different instances.
+/// Share of its part of a retry budget that one of several instances spends. The rest is for requests that it did not
+/// have in the window before.
 const SPENT_SHARE: f64 = 0.9;
 
 /// Returns the limits on the age of a confirmation that the settings give.
@@ -559,6 +559,7 @@
                 is_allowed,
                 retries = usage.retries,
                 requests = usage.requests,
+                earlier_requests = usage.earlier_requests,
                 taken = usage.taken,
                 instances,
                 "retry"
@@ -579,13 +580,14 @@
             Err(at) => {
                 let cfg = self.settings.borrow().retries;
                 let has_peers = self.settings.borrow().listen.peers.is_some();
-                let (share, slack_after_ms) = if has_peers {
-                    (SPENT_SHARE, cfg.window_ms)
+                let (share, growth_share, slack_after_ms) = if has_peers {
+                    (SPENT_SHARE, 1.0 - SPENT_SHARE, cfg.window_ms)
                 } else {
-                    (1.0, 0)
+                    (1.0, 1.0, 0)
                 };
                 let window = WindowSettings {
                     ratio: cfg.ratio * share,
+                    growth_ratio: cfg.ratio * growth_share,
                     slack: cfg.slack * share,
                     window_ms: cfg.window_ms,
                 };
--- a/crates/vanillakeel/src/attempt/budget.rs
+++ b/crates/vanillakeel/src/attempt/budget.rs
@@ -70,8 +70,11 @@
 /// Settings of a [`WindowBudget`].
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct WindowSettings {
-    /// Retries allowed for each request in the window.
+    /// Retries allowed for each request in the window, up to the number in the window before it.
     pub ratio: f64,
+    /// Retries allowed for each further request in the window. Another instance, or an earlier process, may
+    /// have been sent the requests that this one did not have before, and have used their retries.
+    pub growth_ratio: f64,
     /// Retries per window that all instances together may make beyond the ratio.
     pub slack: f64,
     /// Length of the window, in ms.
@@ -81,7 +84,8 @@
 impl Default for WindowSettings {
     fn default() -> Self {
         Self {
-            ratio: 0.2,
+            ratio: 0.18,
+            growth_ratio: 0.02,
             slack: 50.0,
             window_ms: 10_000,
         }
@@ -93,6 +97,8 @@
 pub struct WindowUsage {
     /// Requests in the window.
     pub requests: usize,
+    /// Requests in the window before it.
+    pub earlier_requests: usize,
     /// Retries in the window.
     pub retries: usize,
     /// Retries that the process has taken since its start.
@@ -101,15 +107,21 @@
 
 /// One instance's part of a retry budget that all instances share, over a sliding window.
 ///
-/// The sum over all instances stays within the shared bound without messages about retries, because
-/// each instance applies the ratio to its own requests only and takes an equal part of the slack. A
-/// process of several takes nothing of the slack during its first window, since an earlier process of the
-/// same instance may have spent that part, or the other instances a larger one before this one joined.
+/// The sum over all instances, and over processes that have ended, stays within the shared bound without
+/// messages about retries:
+///
+/// - Each instance applies the ratio to its own requests only, and takes an equal part of the slack.
+/// - Requests count in full only as far as the instance also had them in the window before. Those that came
+///   to another instance before, or to an earlier process, may have been used there for retries that are still
+///   in the window.
+/// - A process of several takes nothing of the slack during its first window, since an earlier process of the
+///   same instance may have spent that part, or the other instances a larger one before this one joined.
 #[derive(Clone, Debug, Default)]
 pub struct WindowBudget {
     settings: WindowSettings,
     /// Time after which the slack counts.
     slack_from: Millis,
+    /// Times of the requests in the window and in the one before it, in ascending order.
     requests: VecDeque<Millis>,
     retries: VecDeque<Millis>,
     taken: u64,
@@ -140,7 +152,7 @@
         self.slide(now);
         let instances = instances.filter(|_| now > self.slack_from);
         let slack_share = division::equal_part(self.settings.slack, instances);
-        let allowed = self.requests.len() as f64 * self.settings.ratio + slack_share;
+        let allowed = self.earned(now) + slack_share;
         let has_one = (self.retries.len() + 1) as f64 <= allowed;
         if has_one {
             self.retries.push_back(now);
@@ -149,19 +161,41 @@
         has_one
     }
 
+    /// Returns the retries that the requests have earned.
+    fn earned(&self, now: Millis) -> f64 {
+        let (earlier, recent) = self.request_counts(now);
+        let steady = recent.min(earlier);
+        let grown = recent - steady;
+        steady as f64 * self.settings.ratio + grown as f64 * self.settings.growth_ratio
+    }
+
+    /// Returns the number of requests in the window before the present one, and in that.
+    fn request_counts(&self, now: Millis) -> (usize, usize) {
+        let start = now.minus(self.settings.window_ms);
+        let earlier = self.requests.partition_point(|t| *t < start);
+        (earlier, self.requests.len() - earlier)
+    }
+
     /// Returns the requests and retries that count now.
     pub fn usage(&mut self, now: Millis) -> WindowUsage {
         self.slide(now);
+        let (earlier_requests, requests) = self.request_counts(now);
         WindowUsage {
-            requests: self.requests.len(),
+            requests,
+            earlier_requests,
             retries: self.retries.len(),
             taken: self.taken,
         }
     }
 
     fn slide(&mut self, now: Millis) {
-        let start = now.minus(self.settings.window_ms);
-        for times in [&mut self.requests, &mut self.retries] {
+        let cfg = self.settings;
+        let kept = [
+            (&mut self.requests, 2 * cfg.window_ms),
+            (&mut self.retries, cfg.window_ms),
+        ];
+        for (times, kept_ms) in kept {
+            let start = now.minus(kept_ms);
             while times.front().is_some_and(|t| *t < start) {
                 times.pop_front();
             }
--- a/crates/vanillakeel/tests/window_budget.rs
+++ b/crates/vanillakeel/tests/window_budget.rs
@@ -17,6 +17,7 @@
 fn budget() -> WindowBudget {
     let settings = WindowSettings {
         ratio: 0.2,
+        growth_ratio: 0.2,
         slack: 8.0,
         window_ms: 10_000,
     };
@@ -84,3 +85,25 @@
     let usage = budget.usage(START.plus(40_000));
     assert_eq!((usage.retries, usage.taken), (0, 16));
 }
+
+/// Guards against retries that two instances earn with the same requests: one that is killed, or that its
+/// callers leave, may have spent a whole window's retries a moment before.
+#[test]
+fn moved_requests_earn_little() {
+    let settings = WindowSettings {
+        ratio: 0.18,
+        growth_ratio: 0.02,
+        slack: 0.0,
+        ..WindowSettings::default()
+    };
+    let mut budget = WindowBudget::new(settings, Millis::ZERO);
+    let serve_window = |budget: &mut WindowBudget, from: Millis| {
+        for at in 0..100 {
+            budget.on_request(from.plus(at * 100));
+        }
+    };
+    serve_window(&mut budget, START);
+    assert_eq!(take_all(&mut budget, START.plus(9_999), 1), 2);
+    serve_window(&mut budget, START.plus(10_000));
+    assert_eq!(take_all(&mut budget, START.plus(19_999), 1), 16);
+}
