fix: retries count until they have arrived, and what is given up does not arrive

The users count what arrives at a service; the budget counted decisions. A send towards an upstream behind a cut arrives up to connect_ms + unacknowledged_ms later, several together when the cut ends, beside the retries of the next window; and a request that was given up was closed in order, so that bytes which the cut held up arrived even later, as a copy that nobody waits for.

Fix: a retry counts for the window and the longest time until it arrives; a call that ends without an answer resets its connection, which drops what has not been delivered.

Before, no schedule counted arrivals.

--- a/crates/vanillakeel-bench/src/faults/budgets.rs
+++ b/crates/vanillakeel-bench/src/faults/budgets.rs
@@ -2,8 +2,8 @@
 //!
 //! Callers send requests to instances that are killed, join, leave and are cut off from each other, and
 //! callers move from one instance to another. After calm times, in which nothing fails, instances take as many
-//! retries as their part of the budget allows. A count over all of them, from outside, checks the bound in every
-//! window.
+//! retries as their part of the budget allows. Cuts between instances and upstreams hold them up. The upstreams
+//! count, in every window, the retries that reach them.
 
 use super::{
     Guards,
@@ -49,8 +49,15 @@
     growth_ratio: 0.0,
     slack: 56.0,
     window_ms: WINDOW_STEPS as u64 * STEP_MS,
+    arrival_ms: 0,
 };
 
+/// Time after which an instance gives up a request that is not acknowledged, in ms.
+const UNACKNOWLEDGED_MS: u64 = 1_400;
+
+/// Longest cut between an instance and the upstreams, in ms.
+const MAX_CUT_MS: u64 = 3_000;
+
 /// Share of its part of the budget that an instance spends.
 const SPENT_SHARE: f64 = 0.9;
 
@@ -60,6 +67,7 @@
     growth_ratio: BUDGET.ratio * (1.0 - SPENT_SHARE),
     slack: BUDGET.slack * SPENT_SHARE,
     window_ms: BUDGET.window_ms,
+    arrival_ms: UNACKNOWLEDGED_MS,
 };
 
 /// Number of instances that a process without the safeguard assumes while it hears of none.
@@ -134,12 +142,57 @@
         }
     }
 
-    fn step(&mut self, random: &mut Random) {
-        match self.steps_left.checked_sub(1) {
-            Some(left) => self.steps_left = left,
-            None => *self = Self::draw(random),
+    /// Goes on by one step; returns whether a time of failures begins.
+    fn step(&mut self, random: &mut Random) -> bool {
+        if let Some(left) = self.steps_left.checked_sub(1) {
+            self.steps_left = left;
+            return false;
+        }
+        let was_calm = self.percent == 0;
+        *self = Self::draw(random);
+        was_calm && self.percent > 0
+    }
+}
+
+/// The links between instances and upstreams.
+#[derive(Default)]
+struct Links {
+    /// Time at which the last cut of each instance ends.
+    healed_at: [Millis; INSTANCES],
+    /// Retries that a cut holds up, with the time at which it ends.
+    held_up: Vec<(Millis, u64)>,
+}
+
+impl Links {
+    /// Cuts off some instances; a cut of all of them is often why requests begin to fail.
+    fn inject_fault(&mut self, random: &mut Random, now: Millis, failures_begin: bool) {
+        let is_cut_of_all = failures_begin && random.below(3) == 0;
+        let cut_off = if is_cut_of_all {
+            0..INSTANCES
+        } else if random.below(30) == 0 {
+            let index = random.below(INSTANCES as u64) as usize;
+            index..index + 1
+        } else {
+            return;
+        };
+        let healed_at = now.plus(random.below(MAX_CUT_MS));
+        self.healed_at[cut_off].fill(healed_at);
+    }
+
+    /// Sends retries of an instance to upstreams.
+    fn send(&mut self, now: Millis, index: usize, retries: u64, guards: Guards) {
+        let arrives_at = self.healed_at[index].max(now);
+        let is_given_up = arrives_at.since(now) > UNACKNOWLEDGED_MS;
+        if !is_given_up || !guards.resets_given_up {
+            self.held_up.push((arrives_at, retries));
         }
     }
+
+    /// Returns the number of retries that arrive.
+    fn arrived(&mut self, now: Millis) -> u64 {
+        let arrived = self.held_up.extract_if(.., |(at, _)| *at <= now);
+        arrived.map(|(_, retries)| retries).sum()
+    }
 }
 
 /// Runs a schedule of `steps` steps and returns its counts.
@@ -148,9 +201,11 @@
         start: if !guards.starts_without_slack {
             |_, _, _| WindowBudget::new(OWN_PART, Millis::ZERO)
         } else if !guards.counts_earlier_window {
-            |now, _, _| new_budget(now, OWN_PART.ratio)
+            |now, _, _| new_budget(now, OWN_PART.ratio, OWN_PART.arrival_ms)
+        } else if !guards.counts_until_arrival {
+            |now, _, _| new_budget(now, OWN_PART.growth_ratio, 0)
         } else {
-            |now, _, _| new_budget(now, OWN_PART.growth_ratio)
+            |now, _, _| new_budget(now, OWN_PART.growth_ratio, OWN_PART.arrival_ms)
         },
         tell: |_, _, _, _| (),
         hear: |_, _, _, _, ()| (),
@@ -160,20 +215,21 @@
     let mut counts = ScheduleCounts::default();
     let mut callers = Callers::draw(&mut meshed.random);
     let mut failures = Failures::draw(&mut meshed.random);
+    let mut links = Links::default();
     for step in 0..steps {
         meshed.is_calm = step % (CALM_STEPS + FAULT_STEPS) < CALM_STEPS;
         meshed.step();
         callers.step(&mut meshed.random);
-        failures.step(&mut meshed.random);
+        let failures_begin = failures.step(&mut meshed.random);
+        links.inject_fault(&mut meshed.random, meshed.now, failures_begin);
         requests.push(callers.requests);
         hand_over(&mut meshed, &callers);
-        let repeated = if meshed.random.below(100) < failures.percent {
-            repeat(&mut meshed, guards)
-        } else {
-            0
-        };
-        retries.push(repeated);
-        counts.retries += repeated;
+        if meshed.random.below(100) < failures.percent {
+            repeat(&mut meshed, &mut links, guards);
+        }
+        let arrived = links.arrived(meshed.now);
+        retries.push(arrived);
+        counts.retries += arrived;
         let before = [0, WINDOW_STEPS / 2, WINDOW_STEPS].map(|ago| requests.window(ago));
         let counted = before.into_iter().max().unwrap_or(0);
         let allowed = counted as f64 * BUDGET.ratio + BUDGET.slack;
@@ -184,9 +240,10 @@
     counts
 }
 
-fn new_budget(now: Millis, growth_ratio: f64) -> WindowBudget {
+fn new_budget(now: Millis, growth_ratio: f64, arrival_ms: u64) -> WindowBudget {
     let settings = WindowSettings {
         growth_ratio,
+        arrival_ms,
         ..OWN_PART
     };
     WindowBudget::new(settings, now.plus(BUDGET.window_ms))
@@ -202,16 +259,16 @@
     }
 }
 
-/// Takes all retries that the budgets allow; returns their number.
-fn repeat(meshed: &mut Meshed<WindowBudget, ()>, guards: Guards) -> u64 {
+/// Sends all retries that the budgets allow.
+fn repeat(meshed: &mut Meshed<WindowBudget, ()>, links: &mut Links, guards: Guards) {
     let now = meshed.now;
-    let running = meshed.instances.iter_mut();
-    let running = running.filter_map(|i| i.process.as_mut().ok());
-    let taken = running.map(|process| {
-        let retries = std::iter::repeat_with(|| take_retry(process, now, guards));
-        retries.take_while(|is_allowed| *is_allowed).count() as u64
-    });
-    taken.sum()
+    for (index, instance) in meshed.instances.iter_mut().enumerate() {
+        if let Ok(process) = &mut instance.process {
+            let retries = std::iter::repeat_with(|| take_retry(process, now, guards));
+            let taken = retries.take_while(|is_allowed| *is_allowed).count();
+            links.send(now, index, taken as u64, guards);
+        }
+    }
 }
 
 /// Returns the running process that a caller chooses, by the weights of the instances.
--- a/crates/vanillakeel-bench/src/faults/claims.rs
+++ b/crates/vanillakeel-bench/src/faults/claims.rs
@@ -69,6 +69,10 @@
     pub starts_without_slack: bool,
     /// Requests count in full for the retry budget only as far as the window before had them too.
     pub counts_earlier_window: bool,
+    /// A retry counts for as long as it may be under way.
+    pub counts_until_arrival: bool,
+    /// A connection is reset if its request is given up.
+    pub resets_given_up: bool,
     /// Instances tell each other of crashes.
     pub shares_crashes: bool,
     /// The rate of an upstream is divided over instances.
@@ -92,6 +96,8 @@
             counts_unheard: true,
             starts_without_slack: true,
             counts_earlier_window: true,
+            counts_until_arrival: true,
+            resets_given_up: true,
             shares_crashes: true,
             divides_rates: true,
             counts_silent: true,
--- a/crates/vanillakeel-bench/tests/random_schedules.rs
+++ b/crates/vanillakeel-bench/tests/random_schedules.rs
@@ -25,8 +25,8 @@
     assert!(totals.restored > SCHEDULES, "{totals:?}");
 }
 
-/// Guards against retries of all instances together above the bound that they share: after cuts between them,
-/// kills and joins in series, beside callers who move from one instance to another.
+/// Guards against retries that reach upstreams above the bound that all instances share: after cuts between
+/// them, kills and joins in series, beside callers who move from one instance to another, and held up by cuts.
 #[test]
 fn no_overspent_budget() {
     let totals = run_schedules(SEED, SCHEDULES, STEPS, Guards::default());
@@ -75,6 +75,8 @@
 #[case::unheard_instances(Guards { counts_unheard: false, ..Guards::default() }, |t: &Totals| t.overspent)]
 #[case::slack_again(Guards { starts_without_slack: false, ..Guards::default() }, |t: &Totals| t.overspent)]
 #[case::moved_requests(Guards { counts_earlier_window: false, ..Guards::default() }, |t: &Totals| t.overspent)]
+#[case::held_up(Guards { counts_until_arrival: false, ..Guards::default() }, |t: &Totals| t.overspent)]
+#[case::closed_in_order(Guards { resets_given_up: false, ..Guards::default() }, |t: &Totals| t.overspent)]
 #[case::whole_rate(Guards { divides_rates: false, ..Guards::default() }, |t: &Totals| t.exceeded_rates)]
 #[case::only_heard(Guards { counts_silent: false, ..Guards::default() }, |t: &Totals| t.exceeded_rates)]
 #[case::last_answer(Guards { orders_answers: false, ..Guards::default() }, |t: &Totals| t.exceeded_rates)]
--- a/crates/vanillakeel-entry/src/gateway/call.rs
+++ b/crates/vanillakeel-entry/src/gateway/call.rs
@@ -90,7 +90,7 @@
     /// Ends the call in place: reports `outcome` and returns or closes the connection.
     ///
     /// The connection goes back to the pool if the response was read completely and the upstream
-    /// keeps the connection open.
+    /// keeps the connection open. It is reset if the upstream may not have received the whole request.
     pub(super) fn release(&mut self, outcome: CallOutcome) {
         let now = self.shared.clock.now();
         if let Some(in_flight) = self.in_flight.take() {
@@ -104,15 +104,20 @@
             return;
         };
         let mut pool = self.shared.connection_pool.borrow_mut();
-        let is_reusable = matches!(outcome, CallOutcome::Success | CallOutcome::Refused)
-            && !connection.is_closed();
+        let is_answered = matches!(outcome, CallOutcome::Success | CallOutcome::Refused);
+        let is_reusable = is_answered && !connection.is_closed();
         match self.max_idle_ms {
             Some(ms) if is_reusable && ms > 0 => {
                 let cfg = self.shared.settings.borrow().connections;
                 let (name, incarnation) = (&self.pick.name, self.pick.incarnation);
                 pool.put_idle(&cfg, name, incarnation, connection, now.plus(ms));
             }
-            _ => pool.on_closed(&self.pick.name, self.pick.incarnation),
+            _ => {
+                pool.on_closed(&self.pick.name, self.pick.incarnation);
+                if !is_answered {
+                    connection.reset();
+                }
+            }
         }
     }
 }
--- a/crates/vanillakeel-entry/src/gateway/client.rs
+++ b/crates/vanillakeel-entry/src/gateway/client.rs
@@ -24,6 +24,7 @@
 };
 use tokio::{
     net::TcpStream,
+    sync::Notify,
     task::JoinHandle,
     time::timeout, //
 };
@@ -67,13 +68,21 @@
 pub struct HttpConnection {
     tx: http1::SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
+    /// Wakes the task to reset the connection.
+    reset: Rc<Notify>,
+    /// Whether the connection is reset instead of closed in order.
+    resets: bool,
     end: Rc<Cell<Option<ConnectionEnd>>>,
 }
 
 impl Drop for HttpConnection {
     /// Closes the socket at once, so that the other side stops working on the request.
     fn drop(&mut self) {
-        self.task.abort();
+        if self.resets {
+            self.reset.notify_one();
+        } else {
+            self.task.abort();
+        }
     }
 }
 
@@ -89,23 +98,49 @@
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
         set_user_timeout(&stream, timeouts.unacknowledged)?;
-        let (tx, connection) = http1::Builder::new()
+        let (tx, mut connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
             .await
             .map_err(io::Error::other)?;
         let end = Rc::new(Cell::new(None));
         let recorded = Rc::clone(&end);
+        let reset = Rc::new(Notify::new());
+        let reset_wanted = Rc::clone(&reset);
         let task = tokio::task::spawn_local(async move {
+            let result = tokio::select! {
+                biased;
+                () = reset_wanted.notified() => {
+                    let stream = connection.into_parts().io.into_inner();
+                    // Without the option the connection is closed in order.
+                    let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+                    return;
+                }
+                result = &mut connection => result,
+            };
             // An error of the connection also reaches the caller of `send`.
-            let end = match connection.await {
+            let end = match result {
                 Ok(()) => ConnectionEnd::Closed,
                 Err(e) if e.is_incomplete_message() => ConnectionEnd::Closed,
                 Err(_) => ConnectionEnd::Failed,
             };
             recorded.set(Some(end));
         });
-        Ok(Self { tx, task, end })
+        Ok(Self {
+            tx,
+            task,
+            reset,
+            resets: false,
+            end,
+        })
+    }
+
+    /// Resets the connection of a request that is given up.
+    ///
+    /// Bytes of the request that have not reached the other side are dropped. After an orderly close they
+    /// would still arrive, once a cut has ended, as a request that nobody waits for.
+    pub fn reset(mut self) {
+        self.resets = true;
     }
 
     /// Returns how the connection has ended, or `None` while it is open.
--- a/crates/vanillakeel-entry/src/gateway/shared.rs
+++ b/crates/vanillakeel-entry/src/gateway/shared.rs
@@ -585,11 +585,13 @@
                 } else {
                     (1.0, 1.0, 0)
                 };
+                let timing = self.settings.borrow().timing;
                 let window = WindowSettings {
                     ratio: cfg.ratio * share,
                     growth_ratio: cfg.ratio * growth_share,
                     slack: cfg.slack * share,
                     window_ms: cfg.window_ms,
+                    arrival_ms: timing.connect_ms + timing.unacknowledged_ms,
                 };
                 // The clock starts with the process.
                 let slack_from = Millis::new(cfg.slack_after_ms.unwrap_or(slack_after_ms));
--- a/crates/vanillakeel/src/attempt/budget.rs
+++ b/crates/vanillakeel/src/attempt/budget.rs
@@ -79,6 +79,8 @@
     pub slack: f64,
     /// Length of the window, in ms.
     pub window_ms: u64,
+    /// Longest time from the decision on a retry until it arrives, in ms.
+    pub arrival_ms: u64,
 }
 
 impl Default for WindowSettings {
@@ -88,6 +90,7 @@
             growth_ratio: 0.02,
             slack: 50.0,
             window_ms: 10_000,
+            arrival_ms: 1_400,
         }
     }
 }
@@ -116,6 +119,7 @@
 ///   in the window.
 /// - A process of several takes nothing of the slack during its first window, since an earlier process of the
 ///   same instance may have spent that part, or the other instances a larger one before this one joined.
+/// - A retry counts for as long as it may arrive within a window of the next one.
 #[derive(Clone, Debug, Default)]
 pub struct WindowBudget {
     settings: WindowSettings,
@@ -192,7 +196,7 @@
         let cfg = self.settings;
         let kept = [
             (&mut self.requests, 2 * cfg.window_ms),
-            (&mut self.retries, cfg.window_ms),
+            (&mut self.retries, cfg.window_ms + cfg.arrival_ms),
         ];
         for (times, kept_ms) in kept {
             let start = now.minus(kept_ms);
--- a/crates/vanillakeel/tests/window_budget.rs
+++ b/crates/vanillakeel/tests/window_budget.rs
@@ -20,6 +20,7 @@
         growth_ratio: 0.2,
         slack: 8.0,
         window_ms: 10_000,
+        arrival_ms: 0,
     };
     WindowBudget::new(settings, Millis::new(settings.window_ms))
 }
@@ -107,3 +108,18 @@
     serve_window(&mut budget, START.plus(10_000));
     assert_eq!(take_all(&mut budget, START.plus(19_999), 1), 16);
 }
+
+/// Guards against retries that arrive within a window of each other although they were decided on further
+/// apart, because a cut holds up the first of them.
+#[test]
+fn retries_count_until_they_arrive() {
+    let settings = WindowSettings {
+        slack: 8.0,
+        arrival_ms: 1_400,
+        ..WindowSettings::default()
+    };
+    let mut budget = WindowBudget::new(settings, Millis::ZERO);
+    assert_eq!(take_all(&mut budget, START, 1), 8);
+    assert_eq!(take_all(&mut budget, START.plus(11_400), 1), 0);
+    assert_eq!(take_all(&mut budget, START.plus(11_401), 1), 8);
+}
