fix: a system that starts for the first time earns retries at once

Cause: a process can't tell a first start from a restart.

Fix: retries.first_start, which the platform fills in from what it knows; for two windows all requests then count in full. A text that is empty means no, so that a platform which does not say still gets a process that starts. Open: a process that restarts among others earns a tenth of the ratio for ten seconds.

--- a/crates/vanillakeel-bench/src/faults/budgets.rs
+++ b/crates/vanillakeel-bench/src/faults/budgets.rs
@@ -199,7 +199,7 @@
 pub(super) fn run(seed: u64, steps: u64, guards: Guards) -> ScheduleCounts {
     let contents: Contents<WindowBudget, ()> = Contents {
         start: if !guards.starts_without_slack {
-            |_, _, _| WindowBudget::new(OWN_PART, Millis::ZERO)
+            |_, _, _| WindowBudget::new(OWN_PART, Millis::ZERO, Millis::ZERO)
         } else if !guards.counts_earlier_window {
             |now, _, _| new_budget(now, OWN_PART.ratio, OWN_PART.arrival_ms)
         } else if !guards.counts_until_arrival {
@@ -246,7 +246,7 @@
         arrival_ms,
         ..OWN_PART
     };
-    WindowBudget::new(settings, now.plus(BUDGET.window_ms))
+    WindowBudget::new(settings, now.plus(BUDGET.window_ms), Millis::ZERO)
 }
 
 /// Hands the requests of a step to instances.
--- a/crates/vanillakeel-entry/src/gateway.rs
+++ b/crates/vanillakeel-entry/src/gateway.rs
@@ -26,6 +26,7 @@
 mod datagrams;
 mod duration;
 mod exchange;
+mod flag;
 mod framing;
 mod guard;
 mod header_names;
--- a/crates/vanillakeel-entry/src/gateway/settings.rs
+++ b/crates/vanillakeel-entry/src/gateway/settings.rs
@@ -21,7 +21,10 @@
 //! # Ok::<(), vanillakeel_entry::settings::Error>(())
 //! ```
 
-use super::duration;
+use super::{
+    duration,
+    flag, //
+};
 use crate::settings::{
     Error,
     Instance,
@@ -202,6 +205,10 @@
     /// `window_ms` where instances exchange load, as an earlier process may have used the same part, and
     /// otherwise zero.
     pub slack_after_ms: Option<u64>,
+    /// Whether the whole system starts for the first time, so that no earlier process and no other instance
+    /// can have made retries before; also as text, of which an empty one means no.
+    #[serde(deserialize_with = "flag::deserialize")]
+    pub first_start: bool,
 }
 
 impl Default for Retries {
@@ -212,6 +219,7 @@
             window_ms: 10_000,
             instances: 16,
             slack_after_ms: None,
+            first_start: false,
         }
     }
 }
--- a/crates/vanillakeel-entry/src/gateway/shared.rs
+++ b/crates/vanillakeel-entry/src/gateway/shared.rs
@@ -109,6 +109,10 @@
 /// have in the window before.
 const SPENT_SHARE: f64 = 0.9;
 
+/// Windows of the retry budget after the first start of a system in which no instance takes over requests of
+/// another one: in the first there may be no request, and in the second none before it.
+const FIRST_WINDOWS: u64 = 2;
+
 /// Returns the limits on the age of a confirmation that the settings give.
 const fn freshness_of(settings: &Settings) -> Freshness {
     let timing = settings.timing;
@@ -595,7 +599,12 @@
                 };
                 // The clock starts with the process.
                 let slack_from = Millis::new(cfg.slack_after_ms.unwrap_or(slack_after_ms));
-                let budget = WindowBudget::new(window, slack_from);
+                let first_ms = if cfg.first_start {
+                    FIRST_WINDOWS * cfg.window_ms
+                } else {
+                    0
+                };
+                let budget = WindowBudget::new(window, slack_from, Millis::new(first_ms));
                 retry_budgets.insert(at, (Arc::clone(service), budget));
                 at
             }
--- a/crates/vanillakeel/src/attempt/budget.rs
+++ b/crates/vanillakeel/src/attempt/budget.rs
@@ -125,6 +125,8 @@
     settings: WindowSettings,
     /// Time after which the slack counts.
     slack_from: Millis,
+    /// Time up to which nobody else can have been sent this instance's requests before.
+    first_until: Millis,
     /// Times of the requests in the window and in the one before it, in ascending order.
     requests: VecDeque<Millis>,
     retries: VecDeque<Millis>,
@@ -133,11 +135,14 @@
 
 impl WindowBudget {
     /// Creates a budget with an empty window, which takes nothing of the slack up to `slack_from`.
+    ///
+    /// All requests earn the whole ratio up to `first_until`, where the system starts for the first time.
     #[must_use]
-    pub fn new(settings: WindowSettings, slack_from: Millis) -> Self {
+    pub fn new(settings: WindowSettings, slack_from: Millis, first_until: Millis) -> Self {
         Self {
             settings,
             slack_from,
+            first_until,
             ..Self::default()
         }
     }
@@ -168,7 +173,11 @@
     /// Returns the retries that the requests have earned.
     fn earned(&self, now: Millis) -> f64 {
         let (earlier, recent) = self.request_counts(now);
-        let steady = recent.min(earlier);
+        let steady = if now < self.first_until {
+            recent
+        } else {
+            recent.min(earlier)
+        };
         let grown = recent - steady;
         steady as f64 * self.settings.ratio + grown as f64 * self.settings.growth_ratio
     }
