--- a/crates/vanillakeel-bench/src/faults/crashing.rs
+++ b/crates/vanillakeel-bench/src/faults/crashing.rs
@@ -1,9 +1,9 @@
-//! Schedules that check how soon requests with a crashing prompt segment are refused.
+//! Schedules that check how soon crashing requests, and those with a crashing prompt segment, are refused.
 //!
-//! Instances send requests to upstreams that crash when they answer a segment, beside crashes by chance and of
-//! many upstreams at once. Datagrams are lost, instances restart and are cut off from each other. A count over
-//! all of them, from outside, checks how many requests reach upstreams later than allowed, and how many sound
-//! ones are refused.
+//! Instances send requests to upstreams that crash when they answer a segment, or one request that comes again and
+//! again, beside crashes by chance and of many upstreams at once. Some sound requests come again as well.
+//! Datagrams are lost, instances restart and are cut off from each other. A count over all of them, from outside,
+//! checks how many requests reach upstreams later than allowed, and how many sound ones are refused.
 
 use super::Guards;
 use vanillakeel::{
@@ -12,7 +12,8 @@
     quarantine::{
         Evidence,
         Quarantine,
-        Settings, //
+        Settings,
+        Subject, //
     },
 };
 
@@ -32,19 +33,27 @@
 /// Datagrams that are lost, of 100.
 const LOST_PERCENT: u64 = 20;
 
-/// Crashes, seen by instances that reach each other, after which a segment has to be known, and the time
-/// until it is, in ms.
+/// Crashes, seen by instances that reach each other, after which a segment or a request has to be known, and the
+/// time until it is, in ms.
 const KNOWN_AFTER_CRASHES: u64 = 5;
+const REQUEST_KNOWN_AFTER_CRASHES: u64 = 3;
 const KNOWN_WITHIN_MS: u64 = 3_000;
 
-/// Requests with the segment that may reach upstreams later.
+/// Requests with the cause that may reach upstreams later.
 const ALLOWED_LATE: u64 = 3;
 
+/// Attempts that a request gets.
+const ATTEMPTS: u32 = 2;
+
+/// Different sound requests that come again, and the part of all sound ones that they are, as a divisor.
+const POPULAR_REQUESTS: u64 = 3;
+const POPULAR_EVERY: u64 = 4;
+
 /// First segments, and second ones, of sound requests.
 const FIRST_SEGMENTS: u64 = 4;
 const SECOND_SEGMENTS: u64 = 200;
 
-/// Time after which the requests hold another crashing segment, in ms.
+/// Time after which there is another cause of crashes, in ms.
 const EPISODE_MS: u64 = 30_000;
 
 /// Time for which an instance that has started, or was cut off, is not judged, in ms.
@@ -53,10 +62,13 @@
 /// A request that an upstream is answering.
 struct Call {
     instance: usize,
-    segments: [u64; 2],
+    subjects: Subjects,
     sent: Millis,
 }
 
+/// Two segments of a request, and the request as a whole.
+type Subjects = [Subject; 3];
+
 struct Upstream {
     /// Number of the present process.
     process: u64,
@@ -74,11 +86,11 @@
 /// Faults found in a schedule, and the number of crashes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) struct ScheduleCounts {
-    /// Requests with a crashing segment that were sent later than allowed, beyond the allowed number.
+    /// Requests with a cause of crashes that were sent later than allowed, beyond the allowed number.
     pub(super) late_sends: u64,
-    /// Sound requests that were refused while most of those with their segments should begin.
+    /// Sound requests that were refused.
     pub(super) wrongly_refused: u64,
-    /// Crashes that a segment caused.
+    /// Crashes that were caused.
     pub(super) crashes: u64,
     /// Sound requests that were sent.
     pub(super) sound_sends: u64,
@@ -90,8 +102,9 @@
     instances: Vec<Instance>,
     upstreams: Vec<Upstream>,
     next_process: u64,
-    /// Crashing segment of the present episode, its crashes, and its sends later than allowed.
-    bad_segment: u64,
+    next_request: u64,
+    /// What crashes upstreams in the present episode, its crashes, and its sends later than allowed.
+    cause: Subject,
     caused: Vec<Millis>,
     late: u64,
     sound_refused: u64,
@@ -116,7 +129,8 @@
         instances: (0..INSTANCES).map(instance).collect(),
         upstreams: (0..UPSTREAMS).map(upstream).collect(),
         next_process: UPSTREAMS,
-        bad_segment: 0,
+        next_request: POPULAR_REQUESTS,
+        cause: Subject::Segment(0),
         caused: Vec::new(),
         late: 0,
         sound_refused: 0,
@@ -128,7 +142,11 @@
     for step in 0..steps {
         if step % (EPISODE_MS / STEP_MS) == 0 {
             simulation.end_episode();
-            simulation.bad_segment = 1_000_000 + step;
+            let id = 1_000_000_000 + step;
+            simulation.cause = match step / (EPISODE_MS / STEP_MS) % 2 {
+                0 => Subject::Segment(id),
+                _ => Subject::Request(id),
+            };
         }
         simulation.step(guards);
     }
@@ -159,19 +177,37 @@
         }
         for _ in 0..4 {
             let instance = self.random.below(INSTANCES as u64) as usize;
-            let first = self.random.below(FIRST_SEGMENTS);
-            let is_bad = self.random.below(8) == 0;
-            let second = if is_bad {
-                self.bad_segment
-            } else {
-                // Few of them are asked for often.
-                let range = 1 + self.random.below(SECOND_SEGMENTS);
-                100 + self.random.below(range)
-            };
-            self.send(instance, [first, second]);
+            let subjects = self.draw_request();
+            self.send(instance, subjects, 1);
         }
     }
 
+    fn draw_request(&mut self) -> Subjects {
+        let first = self.random.below(FIRST_SEGMENTS);
+        // Few segments are asked for often.
+        let range = 1 + self.random.below(SECOND_SEGMENTS);
+        let second = 100 + self.random.below(range);
+        let is_popular = self.random.below(POPULAR_EVERY) == 0;
+        let request = if is_popular {
+            self.random.below(POPULAR_REQUESTS)
+        } else {
+            self.next_request += 1;
+            self.next_request
+        };
+        let mut subjects = [
+            Subject::Segment(first),
+            Subject::Segment(second),
+            Subject::Request(request),
+        ];
+        let has_cause = self.random.below(8) == 0;
+        match self.cause {
+            Subject::Segment(_) if has_cause => subjects[1] = self.cause,
+            Subject::Request(_) if has_cause => subjects[2] = self.cause,
+            _ => {}
+        }
+        subjects
+    }
+
     fn inject_fault(&mut self) {
         match self.random.below(300) {
             0..4 => {
@@ -204,7 +240,7 @@
             let is_done = |c: &mut Call| now.since(c.sent) >= ANSWER_MS;
             for call in upstream.calls.extract_if(.., is_done) {
                 let quarantine = &mut self.instances[call.instance].quarantine;
-                quarantine.on_answered(now, &call.segments);
+                quarantine.on_answered(now, &call.subjects);
             }
         }
     }
@@ -227,14 +263,20 @@
         }
     }
 
-    fn send(&mut self, instance: usize, segments: [u64; 2]) {
-        let is_bad = segments[1] == self.bad_segment;
+    /// Sends a request, and again to another upstream if it crashes the first one and was not under suspicion.
+    fn send(&mut self, instance: usize, subjects: Subjects, attempt: u32) {
+        let is_bad = subjects.contains(&self.cause);
         let now = self.now;
-        let refused = self.instances[instance].quarantine.refuse(now, &segments);
-        if refused.is_some() {
-            self.sound_refused += u64::from(!is_bad);
-            return;
+        let quarantine = &mut self.instances[instance].quarantine;
+        if let Some(refused) = quarantine.refuse(now, &subjects) {
+            let is_tried =
+                refused.is_provisional && quarantine.try_out(now, refused.subject, instance);
+            if !is_tried {
+                self.sound_refused += u64::from(!is_bad);
+                return;
+            }
         }
+        let was_suspect = quarantine.is_suspect(now, subjects[2]);
         let start = self.random.below(UPSTREAMS) as usize;
         let order = (0..self.upstreams.len()).map(|n| (start + n) % self.upstreams.len());
         let Some(upstream) = order
@@ -245,7 +287,7 @@
         };
         self.upstreams[upstream].calls.push(Call {
             instance,
-            segments,
+            subjects,
             sent: now,
         });
         if !is_bad {
@@ -254,14 +296,30 @@
         }
         self.counts.crashes += 1;
         self.crash(upstream);
+        self.count_crash(instance);
+        let may_repeat = self.instances[instance]
+            .quarantine
+            .are_answered(&subjects[..2]);
+        if may_repeat && !was_suspect && attempt < ATTEMPTS {
+            self.send(instance, subjects, attempt + 1);
+        }
+    }
+
+    /// Counts a crash that a request of an instance has caused, and whether it was sent too late.
+    fn count_crash(&mut self, instance: usize) {
+        let now = self.now;
         let sender = &self.instances[instance];
         if sender.is_isolated {
             // The others can't know of this crash.
             return;
         }
+        let known_after = match self.cause {
+            Subject::Segment(_) => KNOWN_AFTER_CRASHES,
+            Subject::Request(_) => REQUEST_KNOWN_AFTER_CRASHES,
+        };
         let is_judged = now.since(sender.settled_since) >= SETTLED_MS;
-        let fifth = self.caused.get(KNOWN_AFTER_CRASHES as usize - 1);
-        let is_late = fifth.is_some_and(|at| now.since(*at) > KNOWN_WITHIN_MS);
+        let counted = self.caused.get(known_after as usize - 1);
+        let is_late = counted.is_some_and(|at| now.since(*at) > KNOWN_WITHIN_MS);
         self.late += u64::from(is_judged && is_late);
         self.caused.push(now);
     }
@@ -278,7 +336,7 @@
         self.next_process += 1;
         for call in std::mem::take(&mut ended.calls) {
             let quarantine = &mut self.instances[call.instance].quarantine;
-            quarantine.on_crash(now, id, &call.segments);
+            quarantine.on_crash(now, id, &call.subjects);
         }
     }
 }
--- a/crates/vanillakeel-entry/src/gateway/answer.rs
+++ b/crates/vanillakeel-entry/src/gateway/answer.rs
@@ -101,6 +101,8 @@
     UnknownStream(Option<u64>),
     /// a segment of the prompt crashes upstreams
     Quarantined(u64),
+    /// this request crashes upstreams
+    RequestQuarantined(u64),
     /// no upstream of the version that began the stream is left
     VersionGone,
     /// an upstream failed after the request was sent
@@ -130,6 +132,7 @@
             Self::Stopping => "stopping",
             Self::UnknownStream(_) => "unknown_stream",
             Self::Quarantined(_) => "quarantined",
+            Self::RequestQuarantined(_) => "request_quarantined",
             Self::VersionGone => "version_gone",
             Self::Broken => "broken",
             Self::TimedOut => "timed_out",
@@ -155,6 +158,7 @@
             | Self::Stopping
             | Self::UnknownStream(_)
             | Self::Quarantined(_)
+            | Self::RequestQuarantined(_)
             | Self::VersionGone => StatusCode::SERVICE_UNAVAILABLE,
             Self::Broken => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -177,6 +181,7 @@
             Self::Overload(ms)
             | Self::Stale(ms)
             | Self::Quarantined(ms)
+            | Self::RequestQuarantined(ms)
             | Self::RateLimited(ms)
             | Self::Paused(ms) => Some(ms),
             Self::Stopping => Some(0),
--- a/crates/vanillakeel-entry/src/gateway/crashes.rs
+++ b/crates/vanillakeel-entry/src/gateway/crashes.rs
@@ -1,4 +1,4 @@
-//! Detection of crashed upstreams, and of the prompt segments that crash them.
+//! Detection of crashed upstreams, and of the requests and prompt segments that crash them.
 //!
 //! A call that breaks off does not show whether its upstream has crashed, spoiled one answer or lost one
 //! connection. [`record_broken`] finds out by new connections: the process has crashed if it is listed as live and
@@ -37,7 +37,11 @@
     Millis,
     fleet::Pick,
     order,
-    quarantine::Change, //
+    quarantine::{
+        Change,
+        Refused,
+        Subject, //
+    }, //
 };
 
 /// Time after the first event of an answer from which the request is not taken for the cause of a crash, in
@@ -175,7 +179,7 @@
     pick: Pick,
     answered_ms: Option<u64>,
 ) -> bool {
-    if request.shared_segments.is_empty() || !has_crashed(&shared, &pick).await {
+    if !has_crashed(&shared, &pick).await {
         return false;
     }
     let is_suspect = answered_ms.is_none_or(|ms| ms < SETTLED_MS);
@@ -187,6 +191,7 @@
             answered_ms,
             is_suspect,
             segments = %format_segments(&request.shared_segments),
+            digest = %request.as_subject(),
             "upstream crashed"
         );
     }
@@ -196,7 +201,7 @@
         let changes = shared.quarantine.borrow_mut().on_crash(
             now,
             order::hash(&process),
-            &request.shared_segments,
+            &request.subjects(),
         );
         log_changes(&shared, &changes);
     }
@@ -205,47 +210,97 @@
 
 /// Records that an upstream has answered a request for so long that the request did not crash it.
 pub(super) fn record_answered(shared: &Shared, request: &RoutedRequest) {
-    if request.shared_segments.is_empty() {
+    let mut quarantine = shared.quarantine.borrow_mut();
+    // The digest of a request is not worth its time while no crash is to be explained.
+    let subjects = if quarantine.suspects_requests() || quarantine.refuses_requests() {
+        request.subjects()
+    } else {
+        request.segment_subjects().collect()
+    };
+    if subjects.is_empty() {
         return;
     }
-    let now = shared.clock.now();
-    let mut quarantine = shared.quarantine.borrow_mut();
-    let changes = quarantine.on_answered(now, &request.shared_segments);
+    let changes = quarantine.on_answered(shared.clock.now(), &subjects);
     drop(quarantine);
     log_changes(shared, &changes);
 }
 
+/// Returns whether a request is under suspicion of an earlier crash.
+pub(super) fn is_suspect(shared: &Shared, request: &RoutedRequest) -> bool {
+    let quarantine = shared.quarantine.borrow();
+    quarantine.suspects_requests()
+        && quarantine.is_suspect(shared.clock.now(), request.as_subject())
+}
+
 /// Returns whether a request may be sent to a further upstream after one has crashed under it: only if each
-/// of its shared segments has been answered before, and none is refused by now.
+/// of its shared segments has been answered before, and nothing of it is refused by now.
 pub(super) fn may_repeat(shared: &Shared, request: &RoutedRequest) -> bool {
-    let now = shared.clock.now();
+    let segments: Vec<_> = request.segment_subjects().collect();
+    let is_known = shared.quarantine.borrow().are_answered(&segments);
+    is_known && refuse(shared, request).is_none()
+}
+
+/// Returns why a request has to be refused, if it has to be.
+fn refuse(shared: &Shared, request: &RoutedRequest) -> Option<Refused> {
     let mut quarantine = shared.quarantine.borrow_mut();
-    quarantine.are_answered(&request.shared_segments)
-        && quarantine.refuse(now, &request.shared_segments).is_none()
+    let subjects = if quarantine.refuses_requests() {
+        request.subjects()
+    } else {
+        request.segment_subjects().collect()
+    };
+    quarantine.refuse(shared.clock.now(), &subjects)
+}
+
+/// Returns whether a request is let through to show whether a provisional verdict is right.
+fn try_out(shared: &Shared, request: &RoutedRequest, subject: Subject) -> bool {
+    let (Subject::Segment(key) | Subject::Request(key)) = subject;
+    let position = shared.mesh.borrow().position(key);
+    let now = shared.clock.now();
+    let is_tried = shared
+        .quarantine
+        .borrow_mut()
+        .try_out(now, subject, position);
+    if is_tried && shared.may_log(Kind::Failure) {
+        tracing::info!(request = %request.id, subject = %subject, position, "quarantine tried out");
+    }
+    is_tried
 }
 
-/// Refuses a request that holds a segment in quarantine.
+/// Refuses a request that is in quarantine, or that holds a segment in quarantine.
 ///
 /// # Errors
 ///
 /// Returns the refusal.
 pub(super) fn check_quarantine(shared: &Shared, request: &RoutedRequest) -> Result<(), Refusal> {
-    let now = shared.clock.now();
-    let refused = shared
-        .quarantine
-        .borrow_mut()
-        .refuse(now, &request.shared_segments);
-    let Some(refused) = refused else {
+    let Some(refused) = refuse(shared, request) else {
         return Ok(());
     };
-    if shared.may_log(Kind::Failure) {
-        tracing::info!(
-            request = %request.id,
-            segment = %format_segments(&[refused.segment]),
-            "segment in quarantine"
-        );
+    if refused.is_provisional && try_out(shared, request, refused.subject) {
+        return Ok(());
+    }
+    let may_log = shared.may_log(Kind::Failure);
+    match refused.subject {
+        Subject::Segment(segment) => {
+            if may_log {
+                tracing::info!(
+                    request = %request.id,
+                    segment = %format_segments(&[segment]),
+                    "segment in quarantine"
+                );
+            }
+            Err(Refusal::Quarantined(refused.retry_after_ms))
+        }
+        Subject::Request(digest) => {
+            if may_log {
+                tracing::info!(
+                    request = %request.id,
+                    digest = %format_digest(digest),
+                    "request in quarantine"
+                );
+            }
+            Err(Refusal::RequestQuarantined(refused.retry_after_ms))
+        }
     }
-    Err(Refusal::Quarantined(refused.retry_after_ms))
 }
 
 /// Logs what has changed in the quarantine.
@@ -253,38 +308,81 @@
     for change in changes {
         match *change {
             Change::Blamed {
-                segment,
+                subject,
                 crashes,
                 first_ms,
                 answered_ms,
-            } => tracing::warn!(
-                segment = %format_segments(&[segment]),
-                crashes,
-                first_ms,
-                answered_ms,
-                "segment crashes upstreams; its requests are refused"
-            ),
-            Change::Adopted { segment } => tracing::warn!(
-                segment = %format_segments(&[segment]),
-                "another instance has found that a segment crashes upstreams; its requests are refused"
-            ),
+                is_provisional,
+            } => {
+                let (segment, digest) = format_subject(subject);
+                tracing::warn!(
+                    segment,
+                    digest,
+                    crashes,
+                    first_ms,
+                    answered_ms,
+                    is_provisional,
+                    "{} crashes upstreams; its requests are refused",
+                    kind_of(subject)
+                );
+            }
+            Change::Adopted { subject } => {
+                let (segment, digest) = format_subject(subject);
+                tracing::warn!(
+                    segment,
+                    digest,
+                    "another instance has found that a {} crashes upstreams; its requests are refused",
+                    kind_of(subject)
+                );
+            }
             Change::Lifted {
-                segment,
-                is_answered,
-            } => tracing::info!(
-                segment = %format_segments(&[segment]),
+                subject,
                 is_answered,
-                "requests with a segment are no longer refused"
-            ),
+            } => {
+                let (segment, digest) = format_subject(subject);
+                tracing::info!(
+                    segment,
+                    digest,
+                    is_answered,
+                    "requests with a {} are no longer refused",
+                    kind_of(subject)
+                );
+            }
         }
     }
     if !changes.is_empty() {
-        let count = shared.quarantine.borrow().len();
-        let count = i64::try_from(count).unwrap_or(i64::MAX);
-        shared.metrics.quarantined_segments.set(count);
+        let quarantine = shared.quarantine.borrow();
+        let requests = quarantine.refused_requests();
+        let gauge = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+        let metrics = &shared.metrics;
+        metrics.quarantined_requests.set(gauge(requests));
+        metrics
+            .quarantined_segments
+            .set(gauge(quarantine.len() - requests));
+    }
+}
+
+/// Returns the word of the log for the kind of a subject.
+const fn kind_of(subject: Subject) -> &'static str {
+    match subject {
+        Subject::Segment(_) => "segment",
+        Subject::Request(_) => "request",
     }
 }
 
+/// Returns the fields of the log for a subject: the id of a segment, or the digest of a request.
+fn format_subject(subject: Subject) -> (Option<String>, Option<String>) {
+    match subject {
+        Subject::Segment(segment) => (Some(format_segments(&[segment])), None),
+        Subject::Request(digest) => (None, Some(format_digest(digest))),
+    }
+}
+
+/// Returns the digest of a request in hexadecimal, as settings name it.
+fn format_digest(digest: u64) -> String {
+    format!("{digest:016x}")
+}
+
 /// Returns the ids of segments in hexadecimal, as requests name them.
 fn format_segments(segments: &[u64]) -> String {
     let ids: Vec<String> = segments.iter().map(|s| format!("{s:x}")).collect();
--- a/crates/vanillakeel-entry/src/gateway/exchange.rs
+++ b/crates/vanillakeel-entry/src/gateway/exchange.rs
@@ -209,14 +209,18 @@
     attempts: &Attempts,
     pick: Pick,
 ) -> bool {
+    let was_suspect = crashes::is_suspect(shared, request);
     let recorded = crashes::record_broken(Rc::clone(shared), Rc::clone(request), pick, None);
     // What is found is also recorded if the caller leaves meanwhile.
     let recorded = spawn_local(recorded);
     if !allows_retry(request, attempts) {
         return false;
     }
+    if !was_suspect && crashes::may_repeat(shared, request) {
+        return true;
+    }
     let has_crashed = recorded.await.unwrap_or(false);
-    !has_crashed || crashes::may_repeat(shared, request)
+    !has_crashed || (!was_suspect && crashes::may_repeat(shared, request))
 }
 
 /// Returns whether the route of a request allows a further attempt: one that may have run is repeated only
--- a/crates/vanillakeel-entry/src/gateway/mesh_wire.rs
+++ b/crates/vanillakeel-entry/src/gateway/mesh_wire.rs
@@ -13,10 +13,11 @@
         Loads, //
     },
     quarantine::{
-        BlamedSegment,
+        BlamedSubject,
         CrashReport,
         Evidence,
-        SoundSegment, //
+        SoundSubject,
+        Subject, //
     },
 };
 use vanillakeel_wire::generated::{
@@ -114,53 +115,85 @@
     if *evidence == Evidence::default() {
         return None;
     }
-    let age = |ms: u64| u32::try_from(ms).unwrap_or(u32::MAX);
-    let crash = |c: &CrashReport| MeshCrash {
-        id: c.id,
-        age: age(c.age_ms),
-        segments: c.segments.clone(),
+    let segment_of = |subject| match subject {
+        Subject::Segment(id) => Some(id),
+        Subject::Request(_) => None,
     };
-    let Evidence {
-        crashes,
-        sound,
-        blamed,
-    } = evidence;
+    let request_of = |subject| match subject {
+        Subject::Segment(_) => None,
+        Subject::Request(digest) => Some(digest),
+    };
+    let requests = evidence_to_wire(evidence, request_of);
     Some(MeshCrashes {
-        crashes: crashes.iter().map(crash).collect(),
-        answered: sound.iter().map(|s| s.segment).collect(),
-        answered_ages: sound.iter().map(|s| age(s.age_ms)).collect(),
-        blamed: blamed.iter().map(|b| b.segment).collect(),
-        blamed_ages: blamed.iter().map(|b| age(b.age_ms)).collect(),
-        asked_ages: blamed.iter().map(|b| age(b.asked_ms)).collect(),
+        requests: (requests != MeshCrashes::default()).then(|| Box::new(requests)),
+        ..evidence_to_wire(evidence, segment_of)
     })
 }
 
+/// Encodes the evidence on subjects of one kind; `id_of` returns the id of those.
+fn evidence_to_wire(evidence: &Evidence, id_of: fn(Subject) -> Option<u64>) -> MeshCrashes {
+    let age = |ms: u64| u32::try_from(ms).unwrap_or(u32::MAX);
+    let mut wire = MeshCrashes::default();
+    for crash in &evidence.crashes {
+        let segments: Vec<u64> = crash.suspects.iter().copied().filter_map(id_of).collect();
+        if !segments.is_empty() {
+            wire.crashes.push(MeshCrash {
+                id: crash.id,
+                age: age(crash.age_ms),
+                segments,
+            });
+        }
+    }
+    for sound in &evidence.sound {
+        if let Some(id) = id_of(sound.subject) {
+            wire.answered.push(id);
+            wire.answered_ages.push(age(sound.age_ms));
+        }
+    }
+    for blamed in &evidence.blamed {
+        if let Some(id) = id_of(blamed.subject) {
+            wire.blamed.push(id);
+            wire.blamed_ages.push(age(blamed.age_ms));
+            wire.asked_ages.push(age(blamed.asked_ms));
+            wire.provisional.extend(blamed.is_provisional.then_some(id));
+        }
+    }
+    wire
+}
+
 /// Decodes evidence on crashes; lists of unequal length are cut to the shortest one.
 pub(super) fn crashes_from_wire(wire: &MeshCrashes) -> Evidence {
-    let crash = |c: &MeshCrash| CrashReport {
+    let mut evidence = Evidence::default();
+    add_from_wire(&mut evidence, wire, Subject::Segment);
+    if let Some(requests) = &wire.requests {
+        add_from_wire(&mut evidence, requests, Subject::Request);
+    }
+    evidence
+}
+
+/// Decodes the evidence on subjects of one kind.
+fn add_from_wire(evidence: &mut Evidence, wire: &MeshCrashes, subject: fn(u64) -> Subject) {
+    let crashes = wire.crashes.iter().map(|c| CrashReport {
         id: c.id,
         age_ms: u64::from(c.age),
-        segments: c.segments.clone(),
-    };
+        suspects: c.segments.iter().copied().map(subject).collect(),
+    });
+    evidence.crashes.extend(crashes);
     let sound = wire.answered.iter().zip(&wire.answered_ages);
-    let blamed_ages = wire.blamed_ages.iter().zip(&wire.asked_ages);
-    let blamed = wire.blamed.iter().zip(blamed_ages);
-    Evidence {
-        crashes: wire.crashes.iter().map(crash).collect(),
-        sound: sound
-            .map(|(segment, age)| SoundSegment {
-                segment: *segment,
-                age_ms: u64::from(*age),
-            })
-            .collect(),
-        blamed: blamed
-            .map(|(segment, (age, asked))| BlamedSegment {
-                segment: *segment,
-                age_ms: u64::from(*age),
-                asked_ms: u64::from(*asked),
-            })
-            .collect(),
-    }
+    evidence.sound.extend(sound.map(|(id, age)| SoundSubject {
+        subject: subject(*id),
+        age_ms: u64::from(*age),
+    }));
+    let ages = wire.blamed_ages.iter().zip(&wire.asked_ages);
+    let blamed = wire.blamed.iter().zip(ages);
+    evidence
+        .blamed
+        .extend(blamed.map(|(id, (age, asked))| BlamedSubject {
+            subject: subject(*id),
+            age_ms: u64::from(*age),
+            asked_ms: u64::from(*asked),
+            is_provisional: wire.provisional.contains(id),
+        }));
 }
 
 #[cfg(test)]
--- a/crates/vanillakeel-entry/src/gateway/metrics.rs
+++ b/crates/vanillakeel-entry/src/gateway/metrics.rs
@@ -86,6 +86,7 @@
     pub(super) upstreams: Gauge,
     pub(super) peers: Gauge,
     pub(super) quarantined_segments: Gauge,
+    pub(super) quarantined_requests: Gauge,
     pub(super) sharing_instances: Gauge,
     pub(super) limited_upstreams: Gauge,
     pub(super) paused_upstreams: Gauge,
@@ -127,6 +128,7 @@
             upstreams: Gauge::default(),
             peers: Gauge::default(),
             quarantined_segments: Gauge::default(),
+            quarantined_requests: Gauge::default(),
             sharing_instances: Gauge::default(),
             limited_upstreams: Gauge::default(),
             paused_upstreams: Gauge::default(),
@@ -233,6 +235,11 @@
             "Prompt segments whose requests are refused since they crash upstreams",
             self.quarantined_segments.clone(),
         );
+        registry.register(
+            "quarantined_requests",
+            "Requests that are refused since they crash upstreams",
+            self.quarantined_requests.clone(),
+        );
         registry.register(
             "sharing_instances",
             "Instances that share limits, including this one; 0 while their number is unknown",
--- a/crates/vanillakeel-entry/src/gateway/relay.rs
+++ b/crates/vanillakeel-entry/src/gateway/relay.rs
@@ -386,6 +386,7 @@
     fn on_upstream_failure(&mut self, call: Call, reason: &str, error: Option<&hyper::Error>) {
         self.log_cut(Some(&call), reason, error);
         let software = call.pick.software.clone();
+        let was_suspect = crashes::is_suspect(&self.shared, &self.request);
         // What was found is also recorded if the caller leaves meanwhile.
         let recorded = spawn_local(crashes::record_broken(
             Rc::clone(&self.shared),
@@ -417,7 +418,9 @@
         let (shared, request) = (Rc::clone(&self.shared), Rc::clone(&self.request));
         self.state = RelayState::Resuming(Box::pin(async move {
             let has_crashed = recorded.await.unwrap_or(false);
-            let may_repeat = !has_crashed || is_settled || crashes::may_repeat(&shared, &request);
+            let may_repeat = !has_crashed
+                || is_settled
+                || (!was_suspect && crashes::may_repeat(&shared, &request));
             if !may_repeat || !exchange::may_resume(&shared, &request, &attempts).await {
                 return (attempts, Err(SendFailure::NoUpstream));
             }
--- a/crates/vanillakeel-entry/src/gateway/request.rs
+++ b/crates/vanillakeel-entry/src/gateway/request.rs
@@ -36,6 +36,7 @@
 };
 use hyper::body::Incoming;
 use std::{
+    cell::OnceCell,
     rc::Rc,
     sync::Arc,
     time::Duration, //
@@ -45,6 +46,10 @@
     Millis, division,
     fleet::PromptSegment,
     order,
+    quarantine::{
+        self,
+        Subject, //
+    },
     routes::{
         Route,
         RouteKind,
@@ -65,6 +70,11 @@
     pub(super) version: u64,
     pub(super) route: Rc<Route>,
     pub(super) service: Arc<str>,
+    host: Box<str>,
+    /// Name of the workspace; empty if no key is required.
+    workspace: Box<str>,
+    /// Digest of the request as a whole, once it is needed.
+    digest: OnceCell<u64>,
     pub(super) method: Method,
     pub(super) uri: Uri,
     /// Headers for the upstream, without those that are set for each attempt.
@@ -111,6 +121,25 @@
         }
     }
 
+    /// Returns the request as a whole, by which it is known when it comes again.
+    pub(super) fn as_subject(&self) -> Subject {
+        let digest = self.digest.get_or_init(|| {
+            let path = self.uri.path_and_query().map_or("/", |p| p.as_str());
+            quarantine::request_digest(&self.host, path, &self.workspace, &self.body)
+        });
+        Subject::Request(*digest)
+    }
+
+    /// Returns the prompt segments that other requests may share.
+    pub(super) fn segment_subjects(&self) -> impl Iterator<Item = Subject> {
+        self.shared_segments.iter().copied().map(Subject::Segment)
+    }
+
+    /// Returns all that may crash an upstream: the shared segments, and the request as a whole.
+    pub(super) fn subjects(&self) -> Vec<Subject> {
+        self.segment_subjects().chain([self.as_subject()]).collect()
+    }
+
     /// Returns the stream to which the events of the answer belong.
     pub(super) fn stream(&self) -> StreamId {
         match self.continues {
@@ -392,6 +421,9 @@
         route: Rc::clone(route),
         rank,
         service: Arc::clone(service),
+        host: Box::from(&*host),
+        workspace: Box::from(workspace.map_or("", |w| &*w.name)),
+        digest: OnceCell::new(),
         uri: path.parse().map_err(|_| Refusal::BadHeader)?,
         max_connections,
         id,
--- a/crates/vanillakeel-entry/src/gateway/settings.rs
+++ b/crates/vanillakeel-entry/src/gateway/settings.rs
@@ -39,7 +39,10 @@
     net::SocketAddr,
     path::Path, //
 };
-use vanillakeel::quarantine;
+use vanillakeel::quarantine::{
+    self,
+    Subject, //
+};
 
 /// Settings of a pass-through instance.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
@@ -224,7 +227,7 @@
     }
 }
 
-/// Quarantine of prompt segments that crash upstreams.
+/// Quarantine of requests and prompt segments that crash upstreams.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Quarantine {
@@ -237,13 +240,18 @@
     pub hold_ms: u64,
     /// Segments that are never refused, as hexadecimal ids.
     pub exempt: Vec<String>,
+    /// Requests that are never refused, as hexadecimal digests.
+    pub exempt_requests: Vec<String>,
 }
 
 impl Quarantine {
     /// Returns the settings of the library; ids that can't be read were refused by the check.
     pub(super) fn to_library(&self) -> quarantine::Settings {
-        let ids = self.exempt.iter().filter_map(|id| parse_segment(id));
-        let mut exempt: Vec<u64> = ids.collect();
+        let ids =
+            |texts: &[String]| -> Vec<u64> { texts.iter().filter_map(|id| parse_id(id)).collect() };
+        let segments = ids(&self.exempt).into_iter().map(Subject::Segment);
+        let requests = ids(&self.exempt_requests).into_iter().map(Subject::Request);
+        let mut exempt: Vec<Subject> = segments.chain(requests).collect();
         exempt.sort_unstable();
         quarantine::Settings {
             crashes: self.crashes,
@@ -255,7 +263,7 @@
     }
 }
 
-fn parse_segment(id: &str) -> Option<u64> {
+fn parse_id(id: &str) -> Option<u64> {
     u64::from_str_radix(id, 16).ok()
 }
 
@@ -267,6 +275,7 @@
             crashes_of_answered: defaults.crashes_of_answered,
             hold_ms: defaults.hold_ms,
             exempt: Vec::new(),
+            exempt_requests: Vec::new(),
         }
     }
 }
@@ -356,11 +365,7 @@
                 "has to be 1 or more, and quarantine.crashes_of_answered as large or larger";
             return fail("quarantine.crashes", reason);
         }
-        if quarantine
-            .exempt
-            .iter()
-            .any(|id| parse_segment(id).is_none())
-        {
+        if quarantine.exempt.iter().any(|id| parse_id(id).is_none()) {
             return fail(
                 "quarantine.exempt",
                 "has to hold hexadecimal ids of segments",
--- a/crates/vanillakeel-wire/src/generated.rs
+++ b/crates/vanillakeel-wire/src/generated.rs
@@ -317,6 +317,12 @@
     pub blamed_ages: ::prost::alloc::vec::Vec<u32>,
     #[prost(uint32, repeated, tag = "6")]
     pub asked_ages: ::prost::alloc::vec::Vec<u32>,
+    /// The same for requests as a whole, with their digests in place of segments.
+    #[prost(message, optional, boxed, tag = "7")]
+    pub requests: ::core::option::Option<::prost::alloc::boxed::Box<MeshCrashes>>,
+    /// Which of the refused ones are refused until a request has shown whether that is right.
+    #[prost(fixed64, repeated, tag = "8")]
+    pub provisional: ::prost::alloc::vec::Vec<u64>,
 }
 /// A crash of an upstream.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/vanillakeel-wire/src/lib.rs
+++ b/crates/vanillakeel-wire/src/lib.rs
@@ -22,7 +22,8 @@
 #[expect(
     missing_docs,
     clippy::must_use_candidate,
-    reason = "the generator copies only some of the comments"
+    clippy::use_self,
+    reason = "the generator copies only some of the comments, and spells out each type"
 )]
 #[rustfmt::skip]
 pub mod generated;
--- a/crates/vanillakeel/src/mesh/state.rs
+++ b/crates/vanillakeel/src/mesh/state.rs
@@ -437,6 +437,15 @@
         f64::from(self.peak_instances.1) / f64::from(reporting)
     }
 
+    /// Returns the position of this instance among all known ones, in the order that a key gives them.
+    #[must_use]
+    pub fn position(&self, key: u64) -> usize {
+        let weight = |name: &str| order::weight_for(key, name);
+        let mine = weight(&self.me.name);
+        let is_before = |p: &&Peer| weight(&p.name) > mine;
+        self.peers().filter(is_before).count()
+    }
+
     /// Returns the number of instances that share limits with this one, which is included, or `None`
     /// until the list of peers has been read and one of them knows this instance.
     ///
--- a/crates/vanillakeel/src/quarantine/state.rs
+++ b/crates/vanillakeel/src/quarantine/state.rs
@@ -1,20 +1,21 @@
-//! Which segments are blamed, and why.
+//! Which subjects are blamed, and why.
 
 use super::{
     evidence::{
-        BlamedSegment,
+        BlamedSubject,
         CrashReport,
         Evidence,
-        SoundSegment, //
+        SoundSubject, //
     },
     sound::LastSuccesses,
+    subject::Subject,
 };
 use crate::Millis;
 
 /// Settings of a [`Quarantine`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
-    /// Crashes without a success in between for which a segment is blamed that no upstream is known to
+    /// Crashes without a success in between for which a subject is blamed that no upstream is known to
     /// have answered.
     pub crashes: u32,
     /// The same number for a segment that was answered before. So many suffice for any segment if they are
@@ -24,14 +25,16 @@
     pub crash_spacing_ms: u64,
     /// Time for which a crash is remembered, in ms.
     pub crash_ttl_ms: u64,
-    /// Time after the last request for it for which a segment stays blamed, in ms.
+    /// Time after the last request for it for which a subject stays blamed, in ms.
     pub hold_ms: u64,
+    /// Time after a provisional verdict from which one request is let through, in ms.
+    pub trial_ms: u64,
     /// Time for which news are repeated to other instances, in ms; repetition covers lost datagrams.
     pub repeat_ms: u64,
-    /// Most segments whose last success is known.
+    /// Most subjects whose last success is known.
     pub max_answered: usize,
-    /// Segments that are never blamed, in ascending order.
-    pub exempt: Vec<u64>,
+    /// Subjects that are never blamed, in ascending order.
+    pub exempt: Vec<Subject>,
 }
 
 impl Default for Settings {
@@ -42,6 +45,7 @@
             crash_spacing_ms: 250,
             crash_ttl_ms: 60_000,
             hold_ms: 600_000,
+            trial_ms: 1_000,
             repeat_ms: 600,
             max_answered: 4_096,
             exempt: Vec::new(),
@@ -49,16 +53,19 @@
     }
 }
 
-/// Fewest times at which upstreams have crashed before a segment is blamed.
+/// Fewest times at which upstreams have crashed before a subject is blamed.
 const MIN_MOMENTS: u32 = 2;
 
+/// Time by which each further instance lets a request through later, in ms, if the one before it gets none.
+const TRIAL_STEP_MS: u64 = 5_000;
+
 /// Most crashes that are remembered.
 const MAX_CRASHES: usize = 64;
 
-/// Most segments that are remembered of a crash.
-const MAX_SUSPECTS: usize = 64;
+/// Most suspects that are remembered of a crash.
+const MAX_SUSPECTS: usize = 128;
 
-/// Most segments that are refused at once.
+/// Most subjects that are refused at once.
 const MAX_BLAMED: usize = 64;
 
 /// A crash that is remembered.
@@ -67,18 +74,18 @@
     id: u64,
     at: Millis,
     /// Sorted.
-    segments: Vec<u64>,
+    suspects: Vec<Subject>,
     /// Time at which a suspect was added last.
     changed: Millis,
 }
 
 impl Crash {
-    fn has(&self, segment: u64) -> bool {
-        self.segments.binary_search(&segment).is_ok()
+    fn has(&self, subject: Subject) -> bool {
+        self.suspects.binary_search(&subject).is_ok()
     }
 }
 
-/// Crashes with a segment under suspicion and without a success in between.
+/// Crashes with a subject under suspicion and without a success in between.
 #[derive(Clone, Copy, Debug)]
 struct CrashSeries {
     crashes: u32,
@@ -93,37 +100,44 @@
     }
 }
 
-/// A segment that is refused.
+/// A subject that is refused.
 #[derive(Clone, Copy, Debug)]
 struct Blamed {
-    segment: u64,
+    subject: Subject,
     since: Millis,
     last_asked: Millis,
+    /// Whether all its crashes were at the same time, as of a rack, so that a request has to show whether the
+    /// verdict is right.
+    is_provisional: bool,
+    /// Time at which the last request was let through.
+    tried: Option<Millis>,
 }
 
 /// A change of what is refused, for the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
-    /// A segment is refused from now on.
+    /// A subject is refused from now on.
     Blamed {
-        /// Id of the segment.
-        segment: u64,
+        /// Which one.
+        subject: Subject,
         /// Crashes that it explains.
         crashes: u32,
         /// Time since the first of them, in ms.
         first_ms: u64,
         /// Time since the last known success with it before, in ms.
         answered_ms: Option<u64>,
+        /// Whether a request has to show whether this is right.
+        is_provisional: bool,
     },
-    /// Another instance has blamed a segment.
+    /// Another instance has blamed a subject.
     Adopted {
-        /// Id of the segment.
-        segment: u64,
+        /// Which one.
+        subject: Subject,
     },
-    /// A segment is no longer refused.
+    /// A subject is no longer refused.
     Lifted {
-        /// Id of the segment.
-        segment: u64,
+        /// Which one.
+        subject: Subject,
         /// Whether an upstream has answered it; otherwise nobody has asked for it for long.
         is_answered: bool,
     },
@@ -132,24 +146,26 @@
 /// Why a request is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Refused {
-    /// Id of the blamed segment.
-    pub segment: u64,
-    /// Time for which the segment is refused if nobody asks for it, in ms.
+    /// What is blamed.
+    pub subject: Subject,
+    /// Time for which it is refused if nobody asks for it, or until it is tried out, in ms.
     pub retry_after_ms: u64,
+    /// Whether it may be [tried out](Quarantine::try_out).
+    pub is_provisional: bool,
 }
 
-/// The segments that crash upstreams, as far as an instance knows.
+/// The subjects that crash upstreams, as far as an instance knows.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
     settings: Settings,
     crashes: Vec<Crash>,
-    /// Segments with so many crashes that a further one may blame them, sorted.
-    watched: Vec<u64>,
+    /// Subjects with so many crashes that a further one may blame them, sorted.
+    watched: Vec<Subject>,
     answered: LastSuccesses,
     blamed: Vec<Blamed>,
-    /// Segments that another instance refuses although they have been answered since, with the times at
+    /// Subjects that another instance refuses although they have been answered since, with the times at
     /// which it said so last.
-    disputed: Vec<(u64, Millis)>,
+    disputed: Vec<(Subject, Millis)>,
 }
 
 impl Quarantine {
@@ -162,74 +178,145 @@
         }
     }
 
-    /// Replaces the settings; segments that are now exempt are no longer refused.
+    /// Replaces the settings; subjects that are now exempt are no longer refused.
     pub fn set_settings(&mut self, settings: Settings) -> Vec<Change> {
         self.settings = settings;
-        let is_exempt = |b: &Blamed| self.settings.exempt.binary_search(&b.segment).is_ok();
+        let is_exempt = |b: &Blamed| self.settings.exempt.binary_search(&b.subject).is_ok();
         let lifted: Vec<_> = self.blamed.iter().copied().filter(is_exempt).collect();
         self.lift(&lifted, false)
     }
 
-    /// Returns whether an upstream is known to have answered each of these segments.
+    /// Returns whether an upstream is known to have answered each of these subjects.
     #[must_use]
-    pub fn are_answered(&self, segments: &[u64]) -> bool {
-        segments.iter().all(|s| self.answered.of(*s).is_some())
+    pub fn are_answered(&self, subjects: &[Subject]) -> bool {
+        subjects.iter().all(|s| self.answered.of(*s).is_some())
     }
 
-    /// Returns the number of segments that are refused.
+    /// Returns the number of subjects that are refused.
     #[must_use]
     pub const fn len(&self) -> usize {
         self.blamed.len()
     }
 
-    /// Returns whether no segment is refused.
+    /// Returns whether nothing is refused.
     #[must_use]
     pub const fn is_empty(&self) -> bool {
         self.blamed.is_empty()
     }
 
-    /// Returns why a request with these shared segments has to be refused, if it has to be.
+    /// Returns why a request with these shared subjects has to be refused, if it has to be.
     ///
-    /// The request counts as one that asks for the segment.
-    pub fn refuse(&mut self, now: Millis, segments: &[u64]) -> Option<Refused> {
+    /// The request counts as one that asks for the subject.
+    pub fn refuse(&mut self, now: Millis, subjects: &[Subject]) -> Option<Refused> {
         let hold_ms = self.settings.hold_ms;
         let blamed = self
             .blamed
             .iter_mut()
-            .find(|b| segments.contains(&b.segment) && now.since(b.last_asked) < hold_ms)?;
+            .find(|b| subjects.contains(&b.subject) && now.since(b.last_asked) < hold_ms)?;
         blamed.last_asked = blamed.last_asked.max(now);
+        let retry_after_ms = if blamed.is_provisional {
+            self.settings.trial_ms
+        } else {
+            hold_ms
+        };
         Some(Refused {
-            segment: blamed.segment,
-            retry_after_ms: hold_ms,
+            subject: blamed.subject,
+            retry_after_ms,
+            is_provisional: blamed.is_provisional,
         })
     }
 
-    /// Records that an upstream has answered a request with these shared segments.
-    pub fn on_answered(&mut self, now: Millis, segments: &[u64]) -> Vec<Change> {
+    /// Returns whether a request with a subject under a provisional verdict is let through, to show by its
+    /// success or a further crash whether the verdict is right.
+    ///
+    /// `position` is that of this instance among those that may do so; the first one goes first.
+    pub fn try_out(&mut self, now: Millis, subject: Subject, position: usize) -> bool {
+        let trial_ms = self.settings.trial_ms;
+        let wait_ms = trial_ms + position as u64 * TRIAL_STEP_MS;
+        let is_due = |b: &&mut Blamed| {
+            b.subject == subject
+                && b.is_provisional
+                && now.since(b.since) >= wait_ms
+                && b.tried.is_none_or(|at| now.since(at) >= TRIAL_STEP_MS)
+        };
+        let due = self.blamed.iter_mut().find(is_due);
+        due.map(|b| b.tried = Some(now)).is_some()
+    }
+
+    /// Returns whether a remembered crash has a request as a whole under suspicion, so that the successes of
+    /// requests count.
+    #[must_use]
+    pub fn suspects_requests(&self) -> bool {
+        let is_request = |s: &Subject| matches!(s, Subject::Request(_));
+        self.crashes
+            .iter()
+            .any(|c| c.suspects.iter().any(is_request))
+    }
+
+    /// Returns whether a request as a whole is refused.
+    #[must_use]
+    pub fn refuses_requests(&self) -> bool {
+        self.refused_requests() > 0
+    }
+
+    /// Returns the number of requests as a whole that are refused.
+    #[must_use]
+    pub fn refused_requests(&self) -> usize {
+        let is_request = |b: &&Blamed| matches!(b.subject, Subject::Request(_));
+        self.blamed.iter().filter(is_request).count()
+    }
+
+    /// Returns whether an upstream has crashed with this subject under suspicion and none has answered it since.
+    #[must_use]
+    pub fn is_suspect(&self, now: Millis, subject: Subject) -> bool {
+        let answered = self.answered.of(subject);
+        self.crashes.iter().any(|c| {
+            let is_remembered = now.since(c.at) < self.settings.crash_ttl_ms;
+            is_remembered && c.has(subject) && answered.is_none_or(|answered| c.at > answered)
+        })
+    }
+
+    /// Records that an upstream has answered a request with these subjects.
+    ///
+    /// Successes of requests as a whole are only kept while they are under suspicion.
+    pub fn on_answered(&mut self, now: Millis, subjects: &[Subject]) -> Vec<Change> {
         let mut changes = Vec::new();
-        for segment in segments {
-            changes.extend(self.on_success(now, *segment));
+        for subject in subjects {
+            let is_kept = match subject {
+                Subject::Segment(_) => true,
+                Subject::Request(_) => self.is_involved(*subject),
+            };
+            if is_kept {
+                changes.extend(self.on_success(now, *subject));
+            }
         }
         changes
     }
 
-    fn on_success(&mut self, at: Millis, segment: u64) -> Vec<Change> {
+    /// Returns whether a subject is refused or under suspicion of a remembered crash.
+    fn is_involved(&self, subject: Subject) -> bool {
+        let is_blamed = self.blamed.iter().any(|b| b.subject == subject);
+        is_blamed || self.crashes.iter().any(|c| c.has(subject))
+    }
+
+    fn on_success(&mut self, at: Millis, subject: Subject) -> Vec<Change> {
         let max_segments = self.settings.max_answered;
-        self.answered.record(at, segment, max_segments);
-        let is_disproved = |b: &Blamed| b.segment == segment && at > b.since;
+        self.answered.record(at, subject, max_segments);
+        let is_disproved = |b: &Blamed| b.subject == subject && at > b.since;
         if !self.blamed.iter().any(is_disproved) {
             return Vec::new();
         }
         let lifted: Vec<_> = self.blamed.iter().copied().filter(is_disproved).collect();
+        self.dispute(at, subject);
         self.lift(&lifted, true)
     }
 
-    /// Records the crash of the process `id`, under which requests with these shared segments ran that had
+    /// Records the crash of the process `id`, under which requests with these shared subjects ran that had
     /// not been answered for a while.
     ///
-    /// The same crash may be recorded several times, with further segments.
-    pub fn on_crash(&mut self, now: Millis, id: u64, segments: &[u64]) -> Vec<Change> {
-        self.add_crash(now, id, now, segments);
+    /// The same crash may be recorded several times, with further subjects.
+    pub fn on_crash(&mut self, now: Millis, id: u64, subjects: &[Subject]) -> Vec<Change> {
+        self.add_crash(now, id, now, subjects);
         self.judge(now, true)
     }
 
@@ -242,24 +329,26 @@
         let crashes = news.map(|c| CrashReport {
             id: c.id,
             age_ms: now.since(c.at),
-            segments: c.segments.clone(),
+            suspects: c.suspects.clone(),
         });
-        let blamed = self.blamed.iter().map(|b| b.segment);
+        let blamed = self.blamed.iter().map(|b| b.subject);
         let suspects = self.watched.iter().copied().chain(blamed);
-        let has_recent_crash = |s: u64| self.crashes.iter().any(|c| is_news(c.changed) && c.has(s));
-        let is_recent = |s: &u64| self.answered.of(*s).is_some_and(is_news);
+        let has_recent_crash =
+            |s: Subject| self.crashes.iter().any(|c| is_news(c.changed) && c.has(s));
+        let is_recent = |s: &Subject| self.answered.of(*s).is_some_and(is_news);
         let disputed = self.disputed.iter().filter(|(_, at)| is_news(*at));
         let told = suspects
             .filter(|s| is_recent(s) || has_recent_crash(*s))
-            .chain(disputed.map(|(segment, _)| *segment));
-        let sound = told.filter_map(|segment| {
-            let age_ms = now.since(self.answered.of(segment)?);
-            Some(SoundSegment { segment, age_ms })
+            .chain(disputed.map(|(subject, _)| *subject));
+        let sound = told.filter_map(|subject| {
+            let age_ms = now.since(self.answered.of(subject)?);
+            Some(SoundSubject { subject, age_ms })
         });
-        let blamed = self.blamed.iter().map(|b| BlamedSegment {
-            segment: b.segment,
+        let blamed = self.blamed.iter().map(|b| BlamedSubject {
+            subject: b.subject,
             age_ms: now.since(b.since),
             asked_ms: now.since(b.last_asked),
+            is_provisional: b.is_provisional,
         });
         Evidence {
             crashes: crashes.collect(),
@@ -272,12 +361,12 @@
     pub fn on_evidence(&mut self, now: Millis, evidence: &Evidence) -> Vec<Change> {
         let mut changes = Vec::new();
         for sound in &evidence.sound {
-            changes.extend(self.on_success(now.minus(sound.age_ms), sound.segment));
+            changes.extend(self.on_success(now.minus(sound.age_ms), sound.subject));
         }
         let mut is_new = false;
         for crash in &evidence.crashes {
             let at = now.minus(crash.age_ms);
-            is_new |= self.add_crash(now, crash.id, at, &crash.segments);
+            is_new |= self.add_crash(now, crash.id, at, &crash.suspects);
         }
         for blamed in &evidence.blamed {
             changes.extend(self.adopt(now, blamed));
@@ -286,48 +375,51 @@
         changes
     }
 
-    /// Refuses a segment that another instance has blamed, unless it has been answered since.
-    fn adopt(&mut self, now: Millis, told: &BlamedSegment) -> Option<Change> {
+    /// Refuses a subject that another instance has blamed, unless it has been answered since.
+    fn adopt(&mut self, now: Millis, told: &BlamedSubject) -> Option<Change> {
         let since = now.minus(told.age_ms);
         let last_asked = now.minus(told.asked_ms);
-        let segment = told.segment;
-        if let Some(known) = self.blamed.iter_mut().find(|b| b.segment == segment) {
+        let subject = told.subject;
+        if let Some(known) = self.blamed.iter_mut().find(|b| b.subject == subject) {
             known.last_asked = known.last_asked.max(last_asked);
+            known.is_provisional &= told.is_provisional;
             return None;
         }
-        if self.answered.of(segment) > Some(since) {
-            self.dispute(now, segment);
+        if self.answered.of(subject) > Some(since) {
+            self.dispute(now, subject);
             return None;
         }
         let is_over = told.asked_ms >= self.settings.hold_ms;
-        if is_over || !self.may_blame(segment) {
+        if is_over || !self.may_blame(subject) {
             return None;
         }
         self.blamed.push(Blamed {
-            segment,
+            subject,
             since,
             last_asked,
+            is_provisional: told.is_provisional,
+            tried: None,
         });
-        Some(Change::Adopted { segment })
+        Some(Change::Adopted { subject })
     }
 
-    /// Notes that other instances have to learn of the last success with a segment.
-    fn dispute(&mut self, now: Millis, segment: u64) {
+    /// Notes that other instances have to learn of the last success with a subject.
+    fn dispute(&mut self, now: Millis, subject: Subject) {
         let repeat_ms = self.settings.repeat_ms;
         self.disputed
-            .retain(|(s, at)| *s != segment && now.since(*at) <= repeat_ms);
+            .retain(|(s, at)| *s != subject && now.since(*at) <= repeat_ms);
         if self.disputed.len() < MAX_BLAMED {
-            self.disputed.push((segment, now));
+            self.disputed.push((subject, now));
         }
     }
 
-    fn may_blame(&self, segment: u64) -> bool {
-        let is_exempt = self.settings.exempt.binary_search(&segment).is_ok();
+    fn may_blame(&self, subject: Subject) -> bool {
+        let is_exempt = self.settings.exempt.binary_search(&subject).is_ok();
         !is_exempt && self.blamed.len() < MAX_BLAMED
     }
 
     /// Adds a crash or further suspects of it; returns whether any of this is new.
-    fn add_crash(&mut self, now: Millis, id: u64, at: Millis, segments: &[u64]) -> bool {
+    fn add_crash(&mut self, now: Millis, id: u64, at: Millis, subjects: &[Subject]) -> bool {
         let found = self.crashes.iter().position(|c| c.id == id);
         let found = found.unwrap_or_else(|| {
             if self.crashes.len() >= MAX_CRASHES {
@@ -336,31 +428,31 @@
             self.crashes.push(Crash {
                 id,
                 at,
-                segments: Vec::new(),
+                suspects: Vec::new(),
                 changed: now,
             });
             self.crashes.len() - 1
         });
         let crash = &mut self.crashes[found];
-        let known = crash.segments.len();
-        for segment in segments {
-            if let Err(place) = crash.segments.binary_search(segment)
-                && crash.segments.len() < MAX_SUSPECTS
+        let known = crash.suspects.len();
+        for subject in subjects {
+            if let Err(place) = crash.suspects.binary_search(subject)
+                && crash.suspects.len() < MAX_SUSPECTS
             {
-                crash.segments.insert(place, *segment);
+                crash.suspects.insert(place, *subject);
                 crash.changed = now;
             }
         }
-        crash.segments.len() > known
+        crash.suspects.len() > known
     }
 
-    /// Finds the segments that a further crash may blame.
+    /// Finds the subjects that a further crash may blame.
     fn watch(&mut self) {
         let needed = self.settings.crashes.min(MIN_MOMENTS) as usize;
-        let mut suspects: Vec<u64> = self
+        let mut suspects: Vec<Subject> = self
             .crashes
             .iter()
-            .flat_map(|c| &c.segments)
+            .flat_map(|c| &c.suspects)
             .copied()
             .collect();
         suspects.sort_unstable();
@@ -371,7 +463,7 @@
             .collect();
     }
 
-    /// Ends verdicts that are over; if a crash is new, blames segments until the crashes that are left are
+    /// Ends verdicts that are over; if a crash is new, blames subjects until the crashes that are left are
     /// not evidence enough.
     fn judge(&mut self, now: Millis, is_new: bool) -> Vec<Change> {
         let (ttl_ms, hold_ms) = (self.settings.crash_ttl_ms, self.settings.hold_ms);
@@ -383,64 +475,124 @@
         }
         self.crashes.retain(|c| now.since(c.at) < ttl_ms);
         self.watch();
-        while let Some((segment, series)) = self.next_to_blame() {
+        self.confirm();
+        while let Some((subject, series)) = self.next_to_blame() {
+            let is_provisional = series.moments < MIN_MOMENTS;
             self.blamed.push(Blamed {
-                segment,
+                subject,
                 since: now,
                 last_asked: now,
+                is_provisional,
+                tried: None,
             });
             changes.push(Change::Blamed {
-                segment,
+                subject,
                 crashes: series.crashes,
                 first_ms: now.since(series.first),
-                answered_ms: self.answered.of(segment).map(|at| now.since(at)),
+                answered_ms: self.answered.of(subject).map(|at| now.since(at)),
+                is_provisional,
             });
         }
         changes
     }
 
-    /// Returns the segment with the longest series of crashes, if it is long enough to blame it.
+    /// Makes provisional verdicts final whose subjects have crashed upstreams at another time as well.
+    fn confirm(&mut self) {
+        let crashes: Vec<&Crash> = self.crashes.iter().collect();
+        let is_confirmed = |b: &Blamed| {
+            let series = self.series(&crashes, b.subject);
+            b.is_provisional && series.is_some_and(|s| s.moments >= MIN_MOMENTS)
+        };
+        let confirmed: Vec<bool> = self.blamed.iter().map(is_confirmed).collect();
+        for (blamed, is_confirmed) in self.blamed.iter_mut().zip(confirmed) {
+            blamed.is_provisional &= !is_confirmed;
+        }
+    }
+
+    /// Returns the subject with the longest series of crashes, if it is long enough to blame it.
     ///
-    /// While several have the same series, further crashes have to decide between them, but not for ever.
-    fn next_to_blame(&self) -> Option<(u64, CrashSeries)> {
-        let is_explained = |c: &&Crash| self.blamed.iter().any(|b| c.has(b.segment));
-        let unexplained: Vec<&Crash> = self.crashes.iter().filter(|c| !is_explained(c)).collect();
+    /// While several have the same series, further crashes have to decide between them, but not for ever. If
+    /// one of them is a request as a whole, and the others are segments that it holds, it explains as much.
+    fn next_to_blame(&self) -> Option<(Subject, CrashSeries)> {
+        let is_request = |s: &Subject| matches!(s, Subject::Request(_));
+        let for_segments = self.unexplained(true);
+        let for_requests = self.unexplained(false);
         let candidates: Vec<_> = self
             .watched
             .iter()
             .copied()
-            .filter(|segment| self.may_blame(*segment))
-            .filter_map(|segment| {
-                let series = self.series(&unexplained, segment)?;
-                self.suffices(segment, series).then_some((segment, series))
+            .filter(|subject| self.may_blame(*subject))
+            .filter_map(|subject| {
+                let crashes = if is_request(&subject) {
+                    &for_requests
+                } else {
+                    &for_segments
+                };
+                let series = self.series(crashes, subject)?;
+                self.suffices(subject, series).then_some((subject, series))
             })
             .collect();
-        let (segment, longest) = *candidates.iter().max_by_key(|(_, s)| s.length())?;
-        let is_longest = |s: &CrashSeries| s.length() == longest.length();
-        let ties = candidates.iter().filter(|(_, s)| is_longest(s)).count();
-        let is_decided = ties == 1 || longest.moments >= self.settings.crashes_of_answered;
-        is_decided.then_some((segment, longest))
+        let longest = candidates.iter().map(|(_, s)| s.length()).max()?;
+        let longest: Vec<_> = candidates
+            .into_iter()
+            .filter(|(_, s)| s.length() == longest)
+            .collect();
+        let requests = longest.iter().filter(|(s, _)| is_request(s)).count();
+        // Requests are last in the order of subjects.
+        let (subject, series) = *longest.last()?;
+        let is_decided = longest.len() == 1
+            || requests == 1
+            || series.moments >= self.settings.crashes_of_answered;
+        is_decided.then_some((subject, series))
     }
 
-    /// Returns whether a series of crashes is long enough to blame a segment.
-    fn suffices(&self, segment: u64, series: CrashSeries) -> bool {
-        let cfg = &self.settings;
-        let needed = match self.answered.of(segment) {
-            None => cfg.crashes,
-            Some(_) => cfg.crashes_of_answered,
+    /// Returns the crashes that nothing blamed so far explains, for the judgement of segments or of requests.
+    ///
+    /// A request that is blamed may have crashed upstreams for a segment that it holds, so one of its crashes
+    /// still counts for segments.
+    fn unexplained(&self, is_for_segments: bool) -> Vec<&Crash> {
+        let mut counted: Vec<Subject> = Vec::new();
+        let is_unexplained = |crash: &&Crash| {
+            let mut blamed = self.blamed.iter().map(|b| b.subject);
+            let Some(cause) = blamed.find(|cause| crash.has(*cause)) else {
+                return true;
+            };
+            let may_count = is_for_segments && matches!(cause, Subject::Request(_));
+            if !may_count || counted.contains(&cause) {
+                return false;
+            }
+            counted.push(cause);
+            true
         };
-        // Several requests with the segment may crash as many upstreams at the same time.
-        let has_many = series.moments >= MIN_MOMENTS && series.crashes >= cfg.crashes_of_answered;
-        series.moments >= needed || has_many
+        self.crashes.iter().filter(is_unexplained).collect()
+    }
+
+    /// Returns whether a series of crashes is long enough to blame a subject.
+    fn suffices(&self, subject: Subject, series: CrashSeries) -> bool {
+        let cfg = &self.settings;
+        match subject {
+            // Several requests with the segment may crash as many upstreams at the same time.
+            Subject::Segment(_) => {
+                let needed = match self.answered.of(subject) {
+                    None => cfg.crashes,
+                    Some(_) => cfg.crashes_of_answered,
+                };
+                let has_many =
+                    series.moments >= MIN_MOMENTS && series.crashes >= cfg.crashes_of_answered;
+                series.moments >= needed || has_many
+            }
+            // The same request seldom runs by chance wherever upstreams crash, and only its callers miss it.
+            Subject::Request(_) => series.crashes >= cfg.crashes,
+        }
     }
 
-    /// Returns the crashes since the last success with a segment.
-    fn series(&self, crashes: &[&Crash], segment: u64) -> Option<CrashSeries> {
-        let answered = self.answered.of(segment);
+    /// Returns the crashes since the last success with a subject.
+    fn series(&self, crashes: &[&Crash], subject: Subject) -> Option<CrashSeries> {
+        let answered = self.answered.of(subject);
         let is_since = |at: Millis| answered.is_none_or(|answered| at > answered);
         let mut times: Vec<Millis> = crashes
             .iter()
-            .filter(|c| c.has(segment) && is_since(c.at))
+            .filter(|c| c.has(subject) && is_since(c.at))
             .map(|c| c.at)
             .collect();
         times.sort_unstable();
@@ -464,15 +616,15 @@
             return Vec::new();
         }
         let changes = lifted.iter().map(|b| Change::Lifted {
-            segment: b.segment,
+            subject: b.subject,
             is_answered,
         });
         let changes = changes.collect();
         self.blamed
-            .retain(|b| lifted.iter().all(|l| l.segment != b.segment));
+            .retain(|b| lifted.iter().all(|l| l.subject != b.subject));
         // What they had explained is no evidence any more.
         for blamed in lifted {
-            self.crashes.retain(|c| !c.has(blamed.segment));
+            self.crashes.retain(|c| !c.has(blamed.subject));
         }
         self.watch();
         changes
--- /dev/null
+++ b/crates/vanillakeel/tests/blamed_requests.rs
@@ -0,0 +1,180 @@
+//! Which requests as a whole are blamed for crashes of upstreams, and when they are refused.
+
+use rstest::rstest;
+use vanillakeel::{
+    Millis,
+    quarantine::{
+        Quarantine,
+        Settings,
+        Subject,
+        request_digest, //
+    },
+};
+
+const BAD: Subject = Subject::Request(0xbad);
+
+const POPULAR: Subject = Subject::Request(1);
+
+/// Time of the first crash.
+const START: Millis = Millis::new(100_000);
+
+fn quarantine() -> Quarantine {
+    Quarantine::new(Settings::default())
+}
+
+/// Records crashes under the bad request at the given times after the start, in ms.
+fn crash_at(quarantine: &mut Quarantine, times: &[u64]) {
+    for ms in times {
+        quarantine.on_crash(START.plus(*ms), 1_000 + ms, &[BAD]);
+    }
+}
+
+fn is_refused(quarantine: &mut Quarantine, ms: u64, subject: Subject) -> bool {
+    quarantine.refuse(START.plus(ms), &[subject]).is_some()
+}
+
+/// Guards against a request that is known by what changes when it comes again, and against requests that count as
+/// the same although another path, query, caller or body may mean another answer.
+#[rstest]
+#[case::same("a.example", "/p?q=1", "clerks", "body", true)]
+#[case::host("b.example", "/p?q=1", "clerks", "body", false)]
+#[case::query("a.example", "/p?q=2", "clerks", "body", false)]
+#[case::caller("a.example", "/p?q=1", "guests", "body", false)]
+#[case::body("a.example", "/p?q=1", "clerks", "bodz", false)]
+#[case::shifted("a.example", "/p?q=1c", "lerks", "body", false)]
+fn same_request(
+    #[case] host: &str,
+    #[case] path: &str,
+    #[case] workspace: &str,
+    #[case] body: &str,
+    #[case] is_same: bool,
+) {
+    let known = request_digest("a.example", "/p?q=1", "clerks", b"body");
+    let digest = request_digest(host, path, workspace, body.as_bytes());
+    assert_eq!(digest == known, is_same);
+}
+
+/// Guards against a verdict after two crashes, which a sound request may see by chance in its two attempts, and
+/// against one that comes later than after the third.
+#[test]
+fn third_crash() {
+    let mut quarantine = quarantine();
+    crash_at(&mut quarantine, &[0, 1_000]);
+    assert!(!is_refused(&mut quarantine, 1_500, BAD));
+    crash_at(&mut quarantine, &[2_000]);
+    assert!(is_refused(&mut quarantine, 2_000, BAD));
+    assert!(!is_refused(&mut quarantine, 2_000, POPULAR));
+}
+
+/// Guards against a popular request that is refused since it runs by chance wherever upstreams crash: its
+/// successes in between speak for it.
+#[test]
+fn popular_beside_crashes() {
+    let mut quarantine = quarantine();
+    for n in 0..20 {
+        let at = START.plus(n * 1_000);
+        quarantine.on_crash(at, n, &[BAD, POPULAR]);
+        quarantine.on_answered(at.plus(300), &[POPULAR]);
+    }
+    assert!(is_refused(&mut quarantine, 20_000, BAD));
+    assert!(!is_refused(&mut quarantine, 20_000, POPULAR));
+}
+
+/// Guards against a request that is repeated at the next upstream although it may have crashed one before, and
+/// against one that stays under suspicion after it was answered.
+#[test]
+fn suspect_until_answered() {
+    let mut quarantine = quarantine();
+    assert!(!quarantine.is_suspect(START, BAD));
+    crash_at(&mut quarantine, &[0]);
+    assert!(quarantine.is_suspect(START.plus(100), BAD));
+    quarantine.on_answered(START.plus(200), &[BAD]);
+    assert!(!quarantine.is_suspect(START.plus(300), BAD));
+}
+
+/// Guards against many callers who send a crashing request at the same time, again and again: several crashes at
+/// once are enough to refuse it, until one request has shown whether that is right.
+#[test]
+fn crashes_at_once() {
+    let mut quarantine = quarantine();
+    crash_at(&mut quarantine, &[0, 20, 40]);
+    let refused = quarantine.refuse(START.plus(100), &[BAD]);
+    assert_eq!(refused.map(|r| r.retry_after_ms), Some(1_000));
+    assert!(!quarantine.try_out(START.plus(100), BAD, 0));
+    assert!(!quarantine.try_out(START.plus(1_100), BAD, 1));
+    assert!(quarantine.try_out(START.plus(1_100), BAD, 0));
+    assert!(!quarantine.try_out(START.plus(1_200), BAD, 0));
+    crash_at(&mut quarantine, &[1_200]);
+    let refused = quarantine.refuse(START.plus(1_300), &[BAD]);
+    assert_eq!(refused.map(|r| r.retry_after_ms), Some(600_000));
+    assert!(!quarantine.try_out(START.plus(20_000), BAD, 0));
+}
+
+/// Guards against a rack whose loss takes a popular request out of service: the one that is let through is
+/// answered, which lifts the verdict, also at the other instances.
+#[test]
+fn popular_in_a_rack() {
+    let (mut chosen, mut other) = (quarantine(), quarantine());
+    for n in 0..5 {
+        let rack = [POPULAR, Subject::Request(100 + n)];
+        chosen.on_crash(START.plus(n), n, &rack);
+    }
+    other.on_evidence(START.plus(100), &chosen.evidence(START.plus(100)));
+    assert!(is_refused(&mut other, 200, POPULAR));
+    assert!(chosen.try_out(START.plus(1_200), POPULAR, 0));
+    chosen.on_answered(START.plus(1_250), &[POPULAR]);
+    assert!(!is_refused(&mut chosen, 1_300, POPULAR));
+    other.on_evidence(START.plus(1_300), &chosen.evidence(START.plus(1_300)));
+    assert!(!is_refused(&mut other, 1_300, POPULAR));
+}
+
+/// Guards against a verdict on the segments of a prompt that comes again unchanged, since the request explains the
+/// crashes as well and nobody else is refused for it.
+#[test]
+fn request_before_its_segments() {
+    let mut quarantine = quarantine();
+    let segment = Subject::Segment(7);
+    for n in 0..3 {
+        quarantine.on_crash(START.plus(n * 1_000), n, &[segment, BAD]);
+    }
+    assert!(is_refused(&mut quarantine, 3_000, BAD));
+    assert!(!is_refused(&mut quarantine, 3_000, segment));
+}
+
+/// Guards against a bad segment that is never found since each of its requests comes again and is blamed itself:
+/// the crashes of a blamed request still count once for its segments.
+#[test]
+fn segment_in_repeated_requests() {
+    let mut quarantine = quarantine();
+    let segment = Subject::Segment(7);
+    let crashes = [1, 1, 1, 2, 2].into_iter().zip(0..);
+    for (request, n) in crashes {
+        let subjects = [segment, Subject::Request(request)];
+        quarantine.on_crash(START.plus(n * 1_000), n, &subjects);
+    }
+    assert!(is_refused(&mut quarantine, 6_000, segment));
+}
+
+/// Guards against an instance that starts after a verdict and lets a crashing request through, or takes a
+/// provisional one for final.
+#[rstest]
+#[case::provisional(&[0, 10, 20], true)]
+#[case::final_one(&[0, 1_000, 2_000], false)]
+fn told_to_one_that_starts(#[case] crashes: &[u64], #[case] is_provisional: bool) {
+    let (mut judge, mut started) = (quarantine(), quarantine());
+    crash_at(&mut judge, crashes);
+    started.on_evidence(START.plus(9_000), &judge.evidence(START.plus(9_000)));
+    let refused = started.refuse(START.plus(9_000), &[BAD]);
+    assert_eq!(refused.map(|r| r.is_provisional), Some(is_provisional));
+}
+
+/// Guards against memory that callers fill with successes of requests that nobody suspects.
+#[test]
+fn unsuspected_successes() {
+    let mut quarantine = quarantine();
+    crash_at(&mut quarantine, &[0]);
+    for n in 0..1_000 {
+        quarantine.on_answered(START, &[Subject::Request(1_000_000 + n)]);
+    }
+    assert!(!quarantine.are_answered(&[Subject::Request(1_000_000)]));
+}
--- a/crates/vanillakeel/tests/blamed_segments.rs
+++ b/crates/vanillakeel/tests/blamed_segments.rs
@@ -7,7 +7,8 @@
     quarantine::{
         Change,
         Quarantine,
-        Settings, //
+        Settings,
+        Subject, //
     },
 };
 
@@ -24,8 +25,14 @@
     Quarantine::new(Settings::default())
 }
 
+fn segments(ids: &[u64]) -> Vec<Subject> {
+    ids.iter().map(|id| Subject::Segment(*id)).collect()
+}
+
 fn is_refused(quarantine: &mut Quarantine, now: Millis, segment: u64) -> bool {
-    quarantine.refuse(now, &[FIRST, segment]).is_some()
+    quarantine
+        .refuse(now, &segments(&[FIRST, segment]))
+        .is_some()
 }
 
 /// Guards against a segment that is blamed too early or too late: three crashes are enough for one that
@@ -34,11 +41,11 @@
 fn third_crash() {
     let mut quarantine = quarantine();
     for n in 1..=3 {
-        quarantine.on_answered(second(n), &[FIRST, 100 + n]);
+        quarantine.on_answered(second(n), &segments(&[FIRST, 100 + n]));
         assert!(!is_refused(&mut quarantine, second(n), BAD));
         let now = second(n).plus(500);
-        quarantine.on_crash(now, n, &[FIRST, BAD]);
-        quarantine.on_crash(now, n, &[FIRST, 100 + n]);
+        quarantine.on_crash(now, n, &segments(&[FIRST, BAD]));
+        quarantine.on_crash(now, n, &segments(&[FIRST, 100 + n]));
     }
     assert!(is_refused(&mut quarantine, second(4), BAD));
     for n in 1..=3 {
@@ -51,8 +58,8 @@
 fn many_at_once() {
     let mut quarantine = quarantine();
     for n in 0..40 {
-        let segments: Vec<u64> = (1..50).collect();
-        quarantine.on_crash(second(1).plus(n * 5), n, &segments);
+        let ids: Vec<u64> = (1..50).collect();
+        quarantine.on_crash(second(1).plus(n * 5), n, &segments(&ids));
     }
     assert!((1..50).all(|segment| !is_refused(&mut quarantine, second(2), segment)));
 }
@@ -62,15 +69,15 @@
 #[test]
 fn several_at_once() {
     let mut quarantine = quarantine();
-    quarantine.on_answered(second(0), &[FIRST]);
+    quarantine.on_answered(second(0), &segments(&[FIRST]));
     for n in 0..4 {
-        quarantine.on_crash(second(1), n, &[FIRST, BAD]);
+        quarantine.on_crash(second(1), n, &segments(&[FIRST, BAD]));
     }
     assert!(!is_refused(&mut quarantine, second(1), BAD));
-    quarantine.on_answered(second(2), &[FIRST]);
-    quarantine.on_crash(second(2).plus(500), 4, &[FIRST, BAD]);
+    quarantine.on_answered(second(2), &segments(&[FIRST]));
+    quarantine.on_crash(second(2).plus(500), 4, &segments(&[FIRST, BAD]));
     assert!(is_refused(&mut quarantine, second(3), BAD));
-    assert!(quarantine.refuse(second(3), &[FIRST]).is_none());
+    assert!(quarantine.refuse(second(3), &segments(&[FIRST])).is_none());
 }
 
 /// Guards against a segment that is blamed although upstreams answer it between the crashes.
@@ -78,8 +85,8 @@
 fn answered_in_between() {
     let mut quarantine = quarantine();
     for n in 0..30 {
-        quarantine.on_crash(second(n), n, &[FIRST, 2]);
-        quarantine.on_answered(second(n).plus(500), &[FIRST, 2]);
+        quarantine.on_crash(second(n), n, &segments(&[FIRST, 2]));
+        quarantine.on_answered(second(n).plus(500), &segments(&[FIRST, 2]));
     }
     assert!(quarantine.is_empty());
 }
@@ -88,12 +95,12 @@
 #[test]
 fn sound_before() {
     let mut quarantine = quarantine();
-    quarantine.on_answered(second(0), &[BAD]);
+    quarantine.on_answered(second(0), &segments(&[BAD]));
     for n in 1..=4 {
-        quarantine.on_crash(second(n), n, &[BAD]);
+        quarantine.on_crash(second(n), n, &segments(&[BAD]));
         assert!(!is_refused(&mut quarantine, second(n), BAD));
     }
-    quarantine.on_crash(second(5), 5, &[BAD]);
+    quarantine.on_crash(second(5), 5, &segments(&[BAD]));
     assert!(is_refused(&mut quarantine, second(5), BAD));
 }
 
@@ -102,11 +109,11 @@
 fn lifted_by_answer() {
     let mut quarantine = quarantine();
     for n in 1..=3 {
-        quarantine.on_crash(second(n), n, &[BAD]);
+        quarantine.on_crash(second(n), n, &segments(&[BAD]));
     }
-    let changes = quarantine.on_answered(second(4), &[BAD]);
+    let changes = quarantine.on_answered(second(4), &segments(&[BAD]));
     let lifted = Change::Lifted {
-        segment: BAD,
+        subject: Subject::Segment(BAD),
         is_answered: true,
     };
     assert_eq!(changes, [lifted]);
@@ -119,11 +126,11 @@
 fn lifted_for_others() {
     let (mut seeing, mut other) = (quarantine(), quarantine());
     for n in 1..=3 {
-        seeing.on_crash(second(n), n, &[BAD]);
+        seeing.on_crash(second(n), n, &segments(&[BAD]));
     }
     other.on_evidence(second(4), &seeing.evidence(second(4)));
     assert!(is_refused(&mut other, second(4), BAD));
-    seeing.on_answered(second(5), &[BAD]);
+    seeing.on_answered(second(5), &segments(&[BAD]));
     // The news of the success itself are lost.
     let later = second(10);
     seeing.on_evidence(later, &other.evidence(later));
@@ -142,7 +149,7 @@
     };
     let mut quarantine = Quarantine::new(settings);
     for n in 1..=3 {
-        quarantine.on_crash(second(n), n, &[BAD]);
+        quarantine.on_crash(second(n), n, &segments(&[BAD]));
     }
     for n in 0..20 {
         assert!(is_refused(&mut quarantine, second(4 + 5 * n), BAD));
@@ -158,8 +165,8 @@
     let mut all: Vec<Quarantine> = (0..4).map(|_| quarantine()).collect();
     let mut now = second(1);
     for n in 0..3_usize {
-        all[n].on_answered(now, &[FIRST, 100 + n as u64]);
-        all[n].on_crash(now.plus(300), n as u64, &[FIRST, BAD]);
+        all[n].on_answered(now, &segments(&[FIRST, 100 + n as u64]));
+        all[n].on_crash(now.plus(300), n as u64, &segments(&[FIRST, BAD]));
         for _ in 0..10 {
             now = now.plus(100);
             for from in 0..4 {
@@ -184,12 +191,12 @@
 fn segments_of_others() {
     let mut quarantine = quarantine();
     for n in 1..=6 {
-        quarantine.on_answered(second(n), &[FIRST, 2]);
-        quarantine.on_crash(second(n).plus(500), n, &[FIRST, 2, BAD]);
+        quarantine.on_answered(second(n), &segments(&[FIRST, 2]));
+        quarantine.on_crash(second(n).plus(500), n, &segments(&[FIRST, 2, BAD]));
     }
     assert!(is_refused(&mut quarantine, second(7), BAD));
     assert!(!is_refused(&mut quarantine, second(7), 2));
-    assert!(quarantine.refuse(second(7), &[FIRST]).is_none());
+    assert!(quarantine.refuse(second(7), &segments(&[FIRST])).is_none());
 }
 
 /// Guards against memory that callers can fill.
@@ -197,14 +204,14 @@
 fn bounded_memory() {
     let mut quarantine = quarantine();
     for n in 0..50_000 {
-        quarantine.on_answered(Millis::new(n), &[n]);
-        quarantine.on_crash(Millis::new(n), n, &[n, n + 1]);
+        quarantine.on_answered(Millis::new(n), &segments(&[n]));
+        quarantine.on_crash(Millis::new(n), n, &segments(&[n, n + 1]));
     }
     let evidence = quarantine.evidence(Millis::new(50_000));
     assert!(evidence.crashes.len() <= 64, "{}", evidence.crashes.len());
     assert!(quarantine.len() <= 64);
     let known = (0..50_000)
-        .filter(|n| quarantine.are_answered(&[*n]))
+        .filter(|n| quarantine.are_answered(&segments(&[*n])))
         .count();
     assert!(known <= 4_096, "{known}");
 }
@@ -215,13 +222,13 @@
 #[case::of_another(false)]
 fn exempt(#[case] is_own: bool) {
     let settings = Settings {
-        exempt: vec![BAD],
+        exempt: segments(&[BAD]),
         ..Settings::default()
     };
     let (mut exempting, mut other) = (Quarantine::new(settings.clone()), quarantine());
     let judge = if is_own { &mut exempting } else { &mut other };
     for n in 1..=3 {
-        judge.on_crash(second(n), n, &[BAD]);
+        judge.on_crash(second(n), n, &segments(&[BAD]));
     }
     exempting.on_evidence(second(4), &other.evidence(second(4)));
     assert!(!is_refused(&mut exempting, second(4), BAD));
