fix: one entry that can't be read spoils no list of entries

Here: a page of newest records failed as a whole if one item had no text as its key, a null value or a number out of range, so that an instance did not start, or never learned its peers; a record whose length lies ended the page, and was read again for ever from the same offset.

--- a/crates/vanillakeel-entry/src/gateway/watch/configuration.rs
+++ b/crates/vanillakeel-entry/src/gateway/watch/configuration.rs
@@ -128,7 +128,11 @@
                 }
             }
             Err(ReadError::Compacted) => position = None,
-            Err(_) => {
+            Err(e) => {
+                if matches!(e, ReadError::Malformed(_)) {
+                    // The newest records are read next, which go past the one that can't be read.
+                    position = None;
+                }
                 // A newer version shows that the log serves others.
                 tokio::select! {
                     () = shared.log_access.wait_to_ask(shared.clock, 0) => {}
--- a/crates/vanillakeel-entry/src/gateway/watch/upstreams.rs
+++ b/crates/vanillakeel-entry/src/gateway/watch/upstreams.rs
@@ -133,7 +133,8 @@
             Ok(page) if is_usable(shared, &page, self.position) => {
                 self.on_page(shared, log, &page, asked_at)
             }
-            Ok(_) | Err(ReadError::Compacted) => {
+            // Where the next record can't be read, the list of newest ones goes past it.
+            Ok(_) | Err(ReadError::Compacted | ReadError::Malformed(_)) => {
                 // The complete list is read next, but not in a busy loop.
                 let had_position = self.position.take().is_some();
                 if had_position { 0 } else { RETRY_PAUSE_MS }
