fix: verdicts on requests outlive the end of all instances

What callers saw, in a test: a crashing request that comes now and then, all instances killed once it was found: the next ones need three crashes more, by requests of instances that have run for some time (4 late arrivals, 3 are allowed). Cause: verdicts lived with the processes; peers tell one that starts, but there was none.

Fix: two instances write a verdict beside the addresses of the instances, which each one reads as it starts. What is taken over is provisional: one request shows whether upstreams were mended since, and one crash at a later time than the verdict makes it final. Costs a write for a verdict and one for its end, and no read.

--- a/crates/vanillakeel-entry/src/gateway.rs
+++ b/crates/vanillakeel-entry/src/gateway.rs
@@ -54,6 +54,7 @@
 mod stop;
 mod streams;
 mod texts;
+mod verdicts;
 mod watch;
 
 pub use self::{
--- a/crates/vanillakeel-entry/src/gateway/crashes.rs
+++ b/crates/vanillakeel-entry/src/gateway/crashes.rs
@@ -351,6 +351,7 @@
         }
     }
     if !changes.is_empty() {
+        shared.quarantine_changed.notify_one();
         let quarantine = shared.quarantine.borrow();
         let requests = quarantine.refused_requests();
         let gauge = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
--- a/crates/vanillakeel-entry/src/gateway/peers.rs
+++ b/crates/vanillakeel-entry/src/gateway/peers.rs
@@ -24,7 +24,8 @@
     rate_limits,
     shared::Shared,
     streams,
-    texts, //
+    texts,
+    verdicts, //
 };
 use bytes::Bytes;
 use std::{
@@ -99,9 +100,10 @@
             me.link_mbps, me.data_centre
         ))),
     };
-    let mut written_in = shared.log_era();
+    let written_in = shared.log_era();
     write_address(shared, log, &entry).await;
     let mut after = None;
+    let mut verdicts = Vec::new();
     loop {
         let asked_at = shared.clock.now();
         match (log.read_newest)(Topic::Peers, after.clone(), ReadProgress::default()).await {
@@ -114,6 +116,7 @@
                     // The message has no kind: a report would make each peer act as a hub.
                     datagrams::send(shared, socket, &peer, None).await;
                 }
+                verdicts.extend(verdicts::restore(shared, &page.entries));
                 after = page.continue_after;
                 if after.is_none() {
                     break;
@@ -132,6 +135,15 @@
     shared.mesh.borrow_mut().on_list_read();
     shared.roster.borrow_mut().on_list_read();
     tracing::info!(peers = shared.mesh.borrow().len(), "peers known");
+    tokio::join!(
+        rewrite_address(shared, log, &entry, written_in),
+        verdicts::store(shared, log, verdicts),
+    );
+}
+
+/// Writes the address of this instance again when the log has come back from a copy.
+async fn rewrite_address(shared: &Shared, log: &LogAdapter, entry: &Entry, written_in: u64) {
+    let mut written_in = written_in;
     // The address may have been written after the copy from which the log came back.
     while shared.stopping_since.get().is_none() {
         let era_risen = shared.era_risen.notified();
@@ -140,7 +152,7 @@
             continue;
         }
         written_in = shared.log_era();
-        write_address(shared, log, &entry).await;
+        write_address(shared, log, entry).await;
     }
 }
 
--- a/crates/vanillakeel-entry/src/gateway/shared.rs
+++ b/crates/vanillakeel-entry/src/gateway/shared.rs
@@ -186,6 +186,8 @@
     pub(super) crash_checks: RefCell<Vec<Rc<CrashCheck>>>,
     /// Prompt segments that crash upstreams.
     pub(super) quarantine: RefCell<Quarantine>,
+    /// Wakes the task that keeps verdicts on the log.
+    pub(super) quarantine_changed: Notify,
     /// Upstreams that were removed recently.
     removed_upstreams: RefCell<RemovedUpstreams>,
     /// Wakes the task that reads the configuration when another instance has announced a newer version.
@@ -254,6 +256,7 @@
             era_risen: Notify::new(),
             crash_checks: RefCell::default(),
             quarantine: RefCell::new(Quarantine::new(quarantine)),
+            quarantine_changed: Notify::new(),
             removed_upstreams: RefCell::default(),
             newer_version: Notify::new(),
             stopping_since: Cell::new(None),
--- a/crates/vanillakeel/src/quarantine.rs
+++ b/crates/vanillakeel/src/quarantine.rs
@@ -49,6 +49,7 @@
     },
     subject::{
         Subject,
+        UnknownSubject,
         request_digest, //
     },
 };
--- a/crates/vanillakeel/src/quarantine/state.rs
+++ b/crates/vanillakeel/src/quarantine/state.rs
@@ -357,6 +357,23 @@
         }
     }
 
+    /// Returns the subjects that are refused.
+    pub fn subjects(&self) -> impl Iterator<Item = Subject> {
+        self.blamed.iter().map(|b| b.subject)
+    }
+
+    /// Takes over a verdict of instances that have ended. Its cause may have been mended since, so it is
+    /// provisional.
+    pub fn restore(&mut self, now: Millis, subject: Subject) -> Option<Change> {
+        let verdict = BlamedSubject {
+            subject,
+            age_ms: 0,
+            asked_ms: 0,
+            is_provisional: true,
+        };
+        self.adopt(now, &verdict)
+    }
+
     /// Adds what another instance knows.
     pub fn on_evidence(&mut self, now: Millis, evidence: &Evidence) -> Vec<Change> {
         let mut changes = Vec::new();
@@ -499,9 +516,12 @@
     /// Makes provisional verdicts final whose subjects have crashed upstreams at another time as well.
     fn confirm(&mut self) {
         let crashes: Vec<&Crash> = self.crashes.iter().collect();
+        let spacing_ms = self.settings.crash_spacing_ms;
         let is_confirmed = |b: &Blamed| {
+            let has_moments = |s: CrashSeries| s.moments >= MIN_MOMENTS;
+            let is_later = |c: &&Crash| c.has(b.subject) && c.at.since(b.since) >= spacing_ms;
             let series = self.series(&crashes, b.subject);
-            b.is_provisional && series.is_some_and(|s| s.moments >= MIN_MOMENTS)
+            series.is_some_and(has_moments) || crashes.iter().any(is_later)
         };
         let confirmed: Vec<bool> = self.blamed.iter().map(is_confirmed).collect();
         for (blamed, is_confirmed) in self.blamed.iter_mut().zip(confirmed) {
--- a/crates/vanillakeel/src/quarantine/subject.rs
+++ b/crates/vanillakeel/src/quarantine/subject.rs
@@ -4,7 +4,10 @@
     Digest as _,
     Sha256, //
 };
-use std::fmt;
+use std::{
+    fmt,
+    str::FromStr, //
+};
 
 /// What may crash an upstream: a part of a prompt, or a request as a whole.
 ///
@@ -26,6 +29,27 @@
     }
 }
 
+impl FromStr for Subject {
+    type Err = UnknownSubject;
+
+    /// Reads a subject as it is shown.
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let (kind, id) = text.split_once(' ').ok_or(UnknownSubject)?;
+        let id = u64::from_str_radix(id, 16).map_err(|_| UnknownSubject)?;
+        match kind {
+            "segment" => Ok(Self::Segment(id)),
+            "request" => Ok(Self::Request(id)),
+            _ => Err(UnknownSubject),
+        }
+    }
+}
+
+/// the text is not that of a subject
+#[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
+pub struct UnknownSubject;
+
+impl std::error::Error for UnknownSubject {}
+
 /// Returns the digest by which instances know a request that comes again: that of its host, path with query,
 /// workspace and body.
 ///
--- a/crates/vanillakeel/tests/blamed_requests.rs
+++ b/crates/vanillakeel/tests/blamed_requests.rs
@@ -178,3 +178,32 @@
     }
     assert!(!quarantine.are_answered(&[Subject::Request(1_000_000)]));
 }
+
+/// Guards against a verdict that was taken over after all instances had ended and needs as many crashes again, and
+/// against one that stays although upstreams have been mended.
+#[rstest]
+#[case::still_crashing(true)]
+#[case::mended(false)]
+fn restored(#[case] still_crashes: bool) {
+    let mut quarantine = quarantine();
+    quarantine.restore(START, BAD);
+    assert!(is_refused(&mut quarantine, 900, BAD));
+    assert!(quarantine.try_out(START.plus(1_000), BAD, 0));
+    if still_crashes {
+        crash_at(&mut quarantine, &[1_100]);
+        assert!(!quarantine.try_out(START.plus(60_000), BAD, 0));
+    } else {
+        quarantine.on_answered(START.plus(1_100), &[BAD]);
+    }
+    assert_eq!(is_refused(&mut quarantine, 60_000, BAD), still_crashes);
+}
+
+/// Guards against verdicts on the log that a later process can't read.
+#[rstest]
+#[case::segment(Subject::Segment(0x5c1e_07a2), "segment 5c1e07a2")]
+#[case::request(Subject::Request(0xbad), "request 0000000000000bad")]
+fn written_subjects(#[case] subject: Subject, #[case] text: &str) {
+    assert_eq!(subject.to_string(), text);
+    assert_eq!(text.parse(), Ok(subject));
+    assert!("entry-1".parse::<Subject>().is_err());
+}
