refactor: retries, writes to the log, and parts of the quarantine in files of their own

No behaviour changed; suites meshed_instances, withdrawn_upstreams, crashing_requests and restored_store, and the library's tests, hold.

--- a/crates/vanillakeel-entry/src/gateway/exchange.rs
+++ b/crates/vanillakeel-entry/src/gateway/exchange.rs
@@ -26,6 +26,7 @@
         self,
         PreparedResponse, //
     },
+    retries,
     shared::Shared, //
 };
 use bytes::Bytes;
@@ -288,13 +289,13 @@
         }
         SendFailure::Refused => {
             attempts.refusals += 1;
-            allows_retry && attempts.refusals < MAX_REFUSALS && shared.take_retry(request)
+            allows_retry && attempts.refusals < MAX_REFUSALS && retries::take(shared, request)
         }
         SendFailure::Withdrawn => {
             attempts.withdrawals += 1;
-            allows_retry && shared.take_retry(request)
+            allows_retry && retries::take(shared, request)
         }
-        SendFailure::Broken(_) => allows_retry && shared.take_retry(request),
+        SendFailure::Broken(_) => allows_retry && retries::take(shared, request),
     }
 }
 
@@ -357,7 +358,7 @@
         let now = shared.clock.now();
         has_upstream = shared.fleet.borrow().has_upstream(now, &info);
     }
-    has_upstream && shared.take_retry(request)
+    has_upstream && retries::take(shared, request)
 }
 
 /// Chooses an upstream for a request.
--- a/crates/vanillakeel-entry/src/gateway/peers.rs
+++ b/crates/vanillakeel-entry/src/gateway/peers.rs
@@ -15,6 +15,7 @@
         Topic, //
     },
     log_views,
+    log_writes,
     mesh_wire::{
         crashes_from_wire,
         crashes_to_wire,
@@ -158,20 +159,8 @@
 
 /// Writes the address of this instance to the log; tries again until the log has answered.
 async fn write_address(shared: &Shared, log: &LogAdapter, entry: &Entry) {
-    loop {
-        let asked_at = shared.clock.now();
-        let Err(e) = (log.write)(Topic::Peers, entry.clone()).await else {
-            break;
-        };
-        tracing::warn!(error = %e, "the address of this instance could not be written to the log");
-        (log.drop_idle)();
-        shared.on_log_failed(asked_at);
-        shared
-            .log_access
-            .wait_to_ask(shared.clock, ASK_DELAY_MS)
-            .await;
-    }
-    shared.log_access.on_served();
+    let what = "the address of this instance";
+    while !log_writes::write(shared, log, entry.clone(), what, ASK_DELAY_MS).await {}
 }
 
 /// Announces to the hubs that this instance is stopping, tells the keepers of streams what it knows, and
--- a/crates/vanillakeel-entry/src/gateway/request.rs
+++ b/crates/vanillakeel-entry/src/gateway/request.rs
@@ -11,6 +11,7 @@
     },
     exchange, headers,
     lines::Kind,
+    retries,
     shared::Shared,
     streams::{
         self,
@@ -308,7 +309,7 @@
         .await?;
     let mut request = route_request(shared, &table, arrived, parts, body)?;
     *routed = Some(request.facts());
-    shared.on_request(&request.service);
+    retries::on_request(shared, &request.service);
     request.software = streams::software_of(shared, &request).await?;
     exchange::forward(shared, request).await
 }
--- a/crates/vanillakeel-entry/src/gateway/shared.rs
+++ b/crates/vanillakeel-entry/src/gateway/shared.rs
@@ -17,7 +17,7 @@
     },
     log_access::LogAccess,
     metrics::Metrics,
-    request::RoutedRequest,
+    retries::RetryBudgets,
     settings::Settings,
     sockets::ConnectionPool,
     streams::PendingLookup, //
@@ -43,10 +43,6 @@
 use vanillakeel::{
     Millis,
     ask_pace::Asker,
-    attempt::{
-        WindowBudget,
-        WindowSettings, //
-    },
     division::{
         self,
         Roster, //
@@ -105,14 +101,6 @@
 /// The repetition makes up for lost datagrams.
 const CHANGE_ANNOUNCED_MS: u64 = 3_000;
 
-/// Share of its part of a retry budget that one of several instances spends. The rest is for requests that it did not
-/// have in the window before.
-const SPENT_SHARE: f64 = 0.9;
-
-/// Windows of the retry budget after the first start of a system in which no instance takes over requests of
-/// another one: in the first there may be no request, and in the second none before it.
-const FIRST_WINDOWS: u64 = 2;
-
 /// Returns the limits on the age of a confirmation that the settings give.
 const fn freshness_of(settings: &Settings) -> Freshness {
     let timing = settings.timing;
@@ -139,7 +127,7 @@
     pub(super) in_force: RefCell<InForce>,
     pub(super) fleet: RefCell<Fleet>,
     pub(super) connection_pool: RefCell<ConnectionPool>,
-    retry_budgets: RefCell<Vec<(Arc<str>, WindowBudget)>>,
+    pub(super) retry_budgets: RetryBudgets,
     pub(super) metrics: Metrics,
     line_limiter: LineLimiter,
     pub(super) mesh: RefCell<Mesh>,
@@ -230,7 +218,7 @@
             settings: RefCell::new(settings),
             fleet: RefCell::new(Fleet::new(fleet, seed)),
             connection_pool: RefCell::default(),
-            retry_budgets: RefCell::default(),
+            retry_budgets: RetryBudgets::default(),
             metrics: Metrics::default(),
             line_limiter: LineLimiter::default(),
             mesh: RefCell::new(Mesh::new(me, mesh::Settings::default())),
@@ -538,80 +526,4 @@
             .retain(|(at, c)| now.since(*at) < CHANGE_ANNOUNCED_MS && c.listed.name != listed.name);
         recent_changes.push((now, UpstreamChange { listed, is_removed }));
     }
-
-    /// Adds a request to the retry budget of its service.
-    pub(super) fn on_request(&self, service: &Arc<str>) {
-        let now = self.clock.now();
-        self.with_retry_budget(service, |b| b.on_request(now));
-    }
-
-    /// Takes a retry of a request from the budget of its service; returns whether the budget allowed
-    /// it.
-    pub(super) fn take_retry(&self, request: &RoutedRequest) -> bool {
-        let now = self.clock.now();
-        let instances = self.sharing_instances();
-        let (is_allowed, usage) = self.with_retry_budget(&request.service, |b| {
-            let is_allowed = b.take(now, instances);
-            (is_allowed, b.usage(now))
-        });
-        if is_allowed {
-            self.metrics.retries.inc();
-        } else {
-            self.metrics.denied_retries.inc();
-        }
-        if self.may_log(Kind::Failure) {
-            tracing::info!(
-                request = %request.id,
-                service = %request.service,
-                is_allowed,
-                retries = usage.retries,
-                requests = usage.requests,
-                earlier_requests = usage.earlier_requests,
-                taken = usage.taken,
-                instances,
-                "retry"
-            );
-        }
-        is_allowed
-    }
-
-    /// Runs an operation on the retry budget of a service, which is created on first use.
-    fn with_retry_budget<T>(
-        &self,
-        service: &Arc<str>,
-        operation: impl FnOnce(&mut WindowBudget) -> T,
-    ) -> T {
-        let mut retry_budgets = self.retry_budgets.borrow_mut();
-        let at = match retry_budgets.binary_search_by(|b| b.0.cmp(service)) {
-            Ok(at) => at,
-            Err(at) => {
-                let cfg = self.settings.borrow().retries;
-                let has_peers = self.settings.borrow().listen.peers.is_some();
-                let (share, growth_share, slack_after_ms) = if has_peers {
-                    (SPENT_SHARE, 1.0 - SPENT_SHARE, cfg.window_ms)
-                } else {
-                    (1.0, 1.0, 0)
-                };
-                let timing = self.settings.borrow().timing;
-                let window = WindowSettings {
-                    ratio: cfg.ratio * share,
-                    growth_ratio: cfg.ratio * growth_share,
-                    slack: cfg.slack * share,
-                    window_ms: cfg.window_ms,
-                    arrival_ms: timing.connect_ms + timing.unacknowledged_ms,
-                };
-                // The clock starts with the process.
-                let slack_from = Millis::new(cfg.slack_after_ms.unwrap_or(slack_after_ms));
-                let first_ms = if cfg.first_start {
-                    FIRST_WINDOWS * cfg.window_ms
-                } else {
-                    0
-                };
-                let budget = WindowBudget::new(window, slack_from, Millis::new(first_ms));
-                retry_budgets.insert(at, (Arc::clone(service), budget));
-                at
-            }
-        };
-        operation(&mut retry_budgets[at].1)
-    }
 }
--- a/crates/vanillakeel-entry/src/gateway/verdicts.rs
+++ b/crates/vanillakeel-entry/src/gateway/verdicts.rs
@@ -13,9 +13,9 @@
     crashes,
     log_adapter::{
         Entry,
-        LogAdapter,
-        Topic, //
+        LogAdapter, //
     },
+    log_writes,
     shared::Shared, //
 };
 use bytes::Bytes;
@@ -57,15 +57,8 @@
         if is_writer(shared, subject) {
             let value = is_refused.then(|| Bytes::from_static(REFUSED));
             let key = subject.to_string();
-            let asked_at = shared.clock.now();
-            if let Err(e) = (log.write)(Topic::Peers, Entry { key, value }).await {
-                tracing::warn!(error = %e, "a verdict could not be written to the log");
-                (log.drop_idle)();
-                shared.on_log_failed(asked_at);
-                shared
-                    .log_access
-                    .wait_to_ask(shared.clock, ASK_DELAY_MS)
-                    .await;
+            let entry = Entry { key, value };
+            if !log_writes::write(shared, log, entry, "a verdict", ASK_DELAY_MS).await {
                 continue;
             }
         }
--- a/crates/vanillakeel/src/quarantine.rs
+++ b/crates/vanillakeel/src/quarantine.rs
@@ -29,7 +29,9 @@
 //! assert!(quarantine.refuse(Millis::new(3_500), &[Subject::Segment(7)]).is_none());
 //! ```
 
+mod crash;
 mod evidence;
+mod settings;
 mod sound;
 mod state;
 mod subject;
@@ -41,11 +43,11 @@
         Evidence,
         SoundSubject, //
     },
+    settings::Settings,
     state::{
         Change,
         Quarantine,
-        Refused,
-        Settings, //
+        Refused, //
     },
     subject::{
         Subject,
--- a/crates/vanillakeel/src/quarantine/state.rs
+++ b/crates/vanillakeel/src/quarantine/state.rs
@@ -1,58 +1,22 @@
 //! Which subjects are blamed, and why.
 
 use super::{
+    crash::{
+        Crash,
+        CrashSeries, //
+    },
     evidence::{
         BlamedSubject,
         CrashReport,
         Evidence,
         SoundSubject, //
     },
+    settings::Settings,
     sound::LastSuccesses,
     subject::Subject,
 };
 use crate::Millis;
 
-/// Settings of a [`Quarantine`].
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Settings {
-    /// Crashes without a success in between for which a subject is blamed that no upstream is known to
-    /// have answered.
-    pub crashes: u32,
-    /// The same number for a segment that was answered before. So many suffice for any segment if they are
-    /// not all at the same time.
-    pub crashes_of_answered: u32,
-    /// Time within which crashes count as one, in ms: the processes of a machine or a rack end together.
-    pub crash_spacing_ms: u64,
-    /// Time for which a crash is remembered, in ms.
-    pub crash_ttl_ms: u64,
-    /// Time after the last request for it for which a subject stays blamed, in ms.
-    pub hold_ms: u64,
-    /// Time after a provisional verdict from which one request is let through, in ms.
-    pub trial_ms: u64,
-    /// Time for which news are repeated to other instances, in ms; repetition covers lost datagrams.
-    pub repeat_ms: u64,
-    /// Most subjects whose last success is known.
-    pub max_answered: usize,
-    /// Subjects that are never blamed, in ascending order.
-    pub exempt: Vec<Subject>,
-}
-
-impl Default for Settings {
-    fn default() -> Self {
-        Self {
-            crashes: 3,
-            crashes_of_answered: 5,
-            crash_spacing_ms: 250,
-            crash_ttl_ms: 60_000,
-            hold_ms: 600_000,
-            trial_ms: 1_000,
-            repeat_ms: 600,
-            max_answered: 4_096,
-            exempt: Vec::new(),
-        }
-    }
-}
-
 /// Fewest times at which upstreams have crashed before a subject is blamed.
 const MIN_MOMENTS: u32 = 2;
 
@@ -68,38 +32,6 @@
 /// Most subjects that are refused at once.
 const MAX_BLAMED: usize = 64;
 
-/// A crash that is remembered.
-#[derive(Clone, Debug)]
-struct Crash {
-    id: u64,
-    at: Millis,
-    /// Sorted.
-    suspects: Vec<Subject>,
-    /// Time at which a suspect was added last.
-    changed: Millis,
-}
-
-impl Crash {
-    fn has(&self, subject: Subject) -> bool {
-        self.suspects.binary_search(&subject).is_ok()
-    }
-}
-
-/// Crashes with a subject under suspicion and without a success in between.
-#[derive(Clone, Copy, Debug)]
-struct CrashSeries {
-    crashes: u32,
-    /// Number of crashes if those at almost the same time count as one.
-    moments: u32,
-    first: Millis,
-}
-
-impl CrashSeries {
-    const fn length(&self) -> (u32, u32) {
-        (self.moments, self.crashes)
-    }
-}
-
 /// A subject that is refused.
 #[derive(Clone, Copy, Debug)]
 struct Blamed {
@@ -609,26 +541,7 @@
     /// Returns the crashes since the last success with a subject.
     fn series(&self, crashes: &[&Crash], subject: Subject) -> Option<CrashSeries> {
         let answered = self.answered.of(subject);
-        let is_since = |at: Millis| answered.is_none_or(|answered| at > answered);
-        let mut times: Vec<Millis> = crashes
-            .iter()
-            .filter(|c| c.has(subject) && is_since(c.at))
-            .map(|c| c.at)
-            .collect();
-        times.sort_unstable();
-        let first = *times.first()?;
-        let (mut moments, mut last) = (1, first);
-        for at in &times {
-            if at.since(last) >= self.settings.crash_spacing_ms {
-                moments += 1;
-                last = *at;
-            }
-        }
-        Some(CrashSeries {
-            crashes: u32::try_from(times.len()).unwrap_or(u32::MAX),
-            moments,
-            first,
-        })
+        CrashSeries::of(crashes, subject, answered, self.settings.crash_spacing_ms)
     }
 
     fn lift(&mut self, lifted: &[Blamed], is_answered: bool) -> Vec<Change> {
