fix: a final verdict comes before one that is tried out

Found on reading: a request with a segment in quarantine, and itself under a provisional verdict, was let through to try out the latter, if that stood first. final_before_provisional failed before.

--- a/crates/vanillakeel/src/quarantine/state.rs
+++ b/crates/vanillakeel/src/quarantine/state.rs
@@ -136,15 +136,15 @@
         self.blamed.is_empty()
     }
 
-    /// Returns why a request with these shared subjects has to be refused, if it has to be.
+    /// Returns why a request with these subjects has to be refused, if it has to be; a final verdict comes first.
     ///
     /// The request counts as one that asks for the subject.
     pub fn refuse(&mut self, now: Millis, subjects: &[Subject]) -> Option<Refused> {
         let hold_ms = self.settings.hold_ms;
-        let blamed = self
-            .blamed
-            .iter_mut()
-            .find(|b| subjects.contains(&b.subject) && now.since(b.last_asked) < hold_ms)?;
+        let is_asked =
+            |b: &&mut Blamed| subjects.contains(&b.subject) && now.since(b.last_asked) < hold_ms;
+        let asked = self.blamed.iter_mut().filter(is_asked);
+        let blamed = asked.min_by_key(|b| b.is_provisional)?;
         blamed.last_asked = blamed.last_asked.max(now);
         let retry_after_ms = if blamed.is_provisional {
             self.settings.trial_ms
@@ -232,8 +232,8 @@
     }
 
     fn on_success(&mut self, at: Millis, subject: Subject) -> Vec<Change> {
-        let max_segments = self.settings.max_answered;
-        self.answered.record(at, subject, max_segments);
+        let max_subjects = self.settings.max_answered;
+        self.answered.record(at, subject, max_subjects);
         let is_disproved = |b: &Blamed| b.subject == subject && at > b.since;
         if !self.blamed.iter().any(is_disproved) {
             return Vec::new();
@@ -243,8 +243,8 @@
         self.lift(&lifted, true)
     }
 
-    /// Records the crash of the process `id`, under which requests with these shared subjects ran that had
-    /// not been answered for a while.
+    /// Records the crash of the process `id`, under which requests with these subjects ran that had not been
+    /// answered for a while.
     ///
     /// The same crash may be recorded several times, with further subjects.
     pub fn on_crash(&mut self, now: Millis, id: u64, subjects: &[Subject]) -> Vec<Change> {
--- a/crates/vanillakeel/tests/blamed_requests.rs
+++ b/crates/vanillakeel/tests/blamed_requests.rs
@@ -207,3 +207,17 @@
     assert_eq!(text.parse(), Ok(subject));
     assert!("entry-1".parse::<Subject>().is_err());
 }
+
+/// Guards against a request that is let through to try out a provisional verdict although it holds a segment that
+/// surely crashes upstreams.
+#[test]
+fn final_before_provisional() {
+    let mut quarantine = quarantine();
+    let segment = Subject::Segment(7);
+    crash_at(&mut quarantine, &[0, 10, 20]);
+    for n in 1..=3 {
+        quarantine.on_crash(START.plus(n * 1_000), n, &[segment]);
+    }
+    let refused = quarantine.refuse(START.plus(5_000), &[BAD, segment]);
+    assert_eq!(refused.map(|r| r.subject), Some(segment));
+}
