--- a/crates/vanillakeel-entry/src/gateway/crashes.rs
+++ b/crates/vanillakeel-entry/src/gateway/crashes.rs
@@ -41,7 +41,7 @@
         Change,
         Refused,
         Subject, //
-    }, //
+    },
 };
 
 /// Time after the first event of an answer from which the request is not taken for the cause of a crash, in
