feat: final verdicts are tried out after the time that callers are told

Callers who come back sooner than they are told kept a verdict up for ever, also once upstreams were mended: only an operator could end it. Now one instance lets a request through after quarantine.hold_ms, and after twice the time whenever a verdict is confirmed. Price: a request that goes on crashing costs an upstream after 10, 30 and 70 minutes, so more than three arrivals over hours; a verdict without end was the other way. tried_out_after_hold states both.

--- a/crates/vanillakeel-bench/src/faults/crashing.rs
+++ b/crates/vanillakeel-bench/src/faults/crashing.rs
@@ -270,7 +270,7 @@
         let quarantine = &mut self.instances[instance].quarantine;
         if let Some(refused) = quarantine.refuse(now, &subjects) {
             let is_tried =
-                refused.is_provisional && quarantine.try_out(now, refused.subject, instance);
+                refused.is_on_trial && quarantine.try_out(now, refused.subject, instance);
             if !is_tried {
                 self.sound_refused += u64::from(!is_bad);
                 return;
--- a/crates/vanillakeel-entry/src/gateway/crashes.rs
+++ b/crates/vanillakeel-entry/src/gateway/crashes.rs
@@ -251,7 +251,7 @@
     quarantine.refuse(shared.clock.now(), &subjects)
 }
 
-/// Returns whether a request is let through to show whether a provisional verdict is right.
+/// Returns whether a request is let through to show whether a verdict is right.
 fn try_out(shared: &Shared, request: &RoutedRequest, subject: Subject) -> bool {
     let (Subject::Segment(key) | Subject::Request(key)) = subject;
     let position = shared.mesh.borrow().position(key);
@@ -275,7 +275,7 @@
     let Some(refused) = refuse(shared, request) else {
         return Ok(());
     };
-    if refused.is_provisional && try_out(shared, request, refused.subject) {
+    if refused.is_on_trial && try_out(shared, request, refused.subject) {
         return Ok(());
     }
     let may_log = shared.may_log(Kind::Failure);
--- a/crates/vanillakeel/src/quarantine/state.rs
+++ b/crates/vanillakeel/src/quarantine/state.rs
@@ -23,6 +23,9 @@
 /// Time by which each further instance lets a request through later, in ms, if the one before it gets none.
 const TRIAL_STEP_MS: u64 = 5_000;
 
+/// Most doublings of the time after which a final verdict is tried out again.
+const MAX_DOUBLINGS: u32 = 6;
+
 /// Most crashes that are remembered.
 const MAX_CRASHES: usize = 64;
 
@@ -43,6 +46,19 @@
     is_provisional: bool,
     /// Time at which the last request was let through.
     tried: Option<Millis>,
+    /// Crashes by requests that were let through after `since`, each of which began a longer hold.
+    renewals: u32,
+}
+
+impl Blamed {
+    /// Returns the time after the verdict from which a request may show whether it is still right, in ms.
+    fn trial_after_ms(&self, cfg: &Settings) -> u64 {
+        if self.is_provisional {
+            cfg.trial_ms
+        } else {
+            cfg.hold_ms << self.renewals.min(MAX_DOUBLINGS)
+        }
+    }
 }
 
 /// A change of what is refused, for the log.
@@ -82,8 +98,8 @@
     pub subject: Subject,
     /// Time for which it is refused if nobody asks for it, or until it is tried out, in ms.
     pub retry_after_ms: u64,
-    /// Whether it may be [tried out](Quarantine::try_out).
-    pub is_provisional: bool,
+    /// Whether it may be [tried out](Quarantine::try_out): it is provisional, or has held for long.
+    pub is_on_trial: bool,
 }
 
 /// The subjects that crash upstreams, as far as an instance knows.
@@ -146,7 +162,9 @@
         let asked = self.blamed.iter_mut().filter(is_asked);
         let blamed = asked.min_by_key(|b| b.is_provisional)?;
         blamed.last_asked = blamed.last_asked.max(now);
-        let retry_after_ms = if blamed.is_provisional {
+        let held_ms = now.since(blamed.since);
+        let is_on_trial = blamed.is_provisional || held_ms >= blamed.trial_after_ms(&self.settings);
+        let retry_after_ms = if is_on_trial {
             self.settings.trial_ms
         } else {
             hold_ms
@@ -154,21 +172,21 @@
         Some(Refused {
             subject: blamed.subject,
             retry_after_ms,
-            is_provisional: blamed.is_provisional,
+            is_on_trial,
         })
     }
 
-    /// Returns whether a request with a subject under a provisional verdict is let through, to show by its
-    /// success or a further crash whether the verdict is right.
+    /// Returns whether a request with a subject that is refused is let through, to show by its success or a
+    /// further crash whether the verdict is right.
     ///
-    /// `position` is that of this instance among those that may do so; the first one goes first.
+    /// `position` is that of this instance among those that may do so; the first one goes first. A final verdict is
+    /// tried out after the time that callers are told, and after twice the time when it has been confirmed.
     pub fn try_out(&mut self, now: Millis, subject: Subject, position: usize) -> bool {
-        let trial_ms = self.settings.trial_ms;
-        let wait_ms = trial_ms + position as u64 * TRIAL_STEP_MS;
+        let cfg = &self.settings;
+        let turn_ms = position as u64 * TRIAL_STEP_MS;
         let is_due = |b: &&mut Blamed| {
             b.subject == subject
-                && b.is_provisional
-                && now.since(b.since) >= wait_ms
+                && now.since(b.since) >= b.trial_after_ms(cfg) + turn_ms
                 && b.tried.is_none_or(|at| now.since(at) >= TRIAL_STEP_MS)
         };
         let due = self.blamed.iter_mut().find(is_due);
@@ -348,6 +366,7 @@
             last_asked,
             is_provisional: told.is_provisional,
             tried: None,
+            renewals: 0,
         });
         Some(Change::Adopted { subject })
     }
@@ -433,6 +452,7 @@
                 last_asked: now,
                 is_provisional,
                 tried: None,
+                renewals: 0,
             });
             changes.push(Change::Blamed {
                 subject,
@@ -445,19 +465,30 @@
         changes
     }
 
-    /// Makes provisional verdicts final whose subjects have crashed upstreams at another time as well.
+    /// Makes provisional verdicts final whose subjects have crashed upstreams at another time as well, and renews
+    /// final ones whose subjects have crashed an upstream again.
     fn confirm(&mut self) {
         let crashes: Vec<&Crash> = self.crashes.iter().collect();
         let spacing_ms = self.settings.crash_spacing_ms;
-        let is_confirmed = |b: &Blamed| {
-            let has_moments = |s: CrashSeries| s.moments >= MIN_MOMENTS;
-            let is_later = |c: &&Crash| c.has(b.subject) && c.at.since(b.since) >= spacing_ms;
+        let last_later = |b: &Blamed| {
+            let is_later = |c: &&&Crash| c.has(b.subject) && c.at.since(b.since) >= spacing_ms;
+            crashes.iter().filter(is_later).map(|c| c.at).max()
+        };
+        let has_moments = |b: &Blamed| {
             let series = self.series(&crashes, b.subject);
-            series.is_some_and(has_moments) || crashes.iter().any(is_later)
+            series.is_some_and(|s| s.moments >= MIN_MOMENTS)
         };
-        let confirmed: Vec<bool> = self.blamed.iter().map(is_confirmed).collect();
-        for (blamed, is_confirmed) in self.blamed.iter_mut().zip(confirmed) {
-            blamed.is_provisional &= !is_confirmed;
+        let confirmed: Vec<_> = self
+            .blamed
+            .iter()
+            .map(|b| (has_moments(b), last_later(b)))
+            .collect();
+        for (blamed, (has_moments, last_later)) in self.blamed.iter_mut().zip(confirmed) {
+            if let Some(at) = last_later {
+                blamed.renewals += u32::from(!blamed.is_provisional);
+                blamed.since = at;
+            }
+            blamed.is_provisional &= !has_moments && last_later.is_none();
         }
     }
 
--- a/crates/vanillakeel/tests/blamed_requests.rs
+++ b/crates/vanillakeel/tests/blamed_requests.rs
@@ -165,7 +165,7 @@
     crash_at(&mut judge, crashes);
     started.on_evidence(START.plus(9_000), &judge.evidence(START.plus(9_000)));
     let refused = started.refuse(START.plus(9_000), &[BAD]);
-    assert_eq!(refused.map(|r| r.is_provisional), Some(is_provisional));
+    assert_eq!(refused.map(|r| r.is_on_trial), Some(is_provisional));
 }
 
 /// Guards against memory that callers fill with successes of requests that nobody suspects.
@@ -221,3 +221,32 @@
     let refused = quarantine.refuse(START.plus(5_000), &[BAD, segment]);
     assert_eq!(refused.map(|r| r.subject), Some(segment));
 }
+
+/// Guards against a request that is refused for ever since its callers come back sooner than they are told, although
+/// upstreams were mended; and against one that crashes upstreams again and again because of that.
+#[rstest]
+#[case::still_crashing(true)]
+#[case::mended(false)]
+fn tried_out_after_hold(#[case] still_crashes: bool) {
+    let mut quarantine = quarantine();
+    crash_at(&mut quarantine, &[0, 1_000, 2_000]);
+    let mut let_through = Vec::new();
+    for second in 3..3_600 {
+        let now = START.plus(second * 1_000);
+        let Some(refused) = quarantine.refuse(now, &[BAD]) else {
+            break;
+        };
+        if refused.is_on_trial && quarantine.try_out(now, BAD, 0) {
+            let_through.push(second);
+            if still_crashes {
+                quarantine.on_crash(now.plus(100), second, &[BAD]);
+            } else {
+                quarantine.on_answered(now.plus(100), &[BAD]);
+            }
+        }
+    }
+    // After 10 minutes, and after 20 more of those that are left.
+    let expected: &[u64] = if still_crashes { &[602, 1_803] } else { &[602] };
+    assert_eq!(let_through, expected);
+    assert_eq!(is_refused(&mut quarantine, 3_600_000, BAD), still_crashes);
+}
