fix: what is told of crashes fits a datagram

A message now tells of 2,048 suspects, the newest crashes first. bounded_messages failed before (8,192).

--- a/crates/vanillakeel/src/quarantine/state.rs
+++ b/crates/vanillakeel/src/quarantine/state.rs
@@ -32,6 +32,9 @@
 /// Most suspects that are remembered of a crash.
 const MAX_SUSPECTS: usize = 128;
 
+/// Most suspects of which one message tells, the newest crashes first, so that it fits a datagram with all else.
+const MAX_TOLD_SUSPECTS: usize = 2_048;
+
 /// Most subjects that are refused at once.
 const MAX_BLAMED: usize = 64;
 
@@ -275,12 +278,20 @@
     pub fn evidence(&self, now: Millis) -> Evidence {
         let repeat_ms = self.settings.repeat_ms;
         let is_news = |at: Millis| now.since(at) <= repeat_ms;
-        let news = self.crashes.iter().filter(|c| is_news(c.changed));
-        let crashes = news.map(|c| CrashReport {
-            id: c.id,
-            age_ms: now.since(c.at),
-            suspects: c.suspects.clone(),
-        });
+        let mut news: Vec<&Crash> = self.crashes.iter().filter(|c| is_news(c.changed)).collect();
+        news.sort_by_key(|c| std::cmp::Reverse(c.changed));
+        let mut told_suspects = 0;
+        let crashes = news
+            .into_iter()
+            .take_while(|c| {
+                told_suspects += c.suspects.len();
+                told_suspects <= MAX_TOLD_SUSPECTS
+            })
+            .map(|c| CrashReport {
+                id: c.id,
+                age_ms: now.since(c.at),
+                suspects: c.suspects.clone(),
+            });
         let blamed = self.blamed.iter().map(|b| b.subject);
         let suspects = self.watched.iter().copied().chain(blamed);
         let has_recent_crash =
--- a/crates/vanillakeel/tests/blamed_requests.rs
+++ b/crates/vanillakeel/tests/blamed_requests.rs
@@ -250,3 +250,18 @@
     assert_eq!(let_through, expected);
     assert_eq!(is_refused(&mut quarantine, 3_600_000, BAD), still_crashes);
 }
+
+/// Guards against messages that fit no datagram, after many upstreams with many calls have crashed at once; then
+/// instances would not hear each other at all.
+#[test]
+fn bounded_messages() {
+    let mut quarantine = quarantine();
+    for n in 0..64 {
+        let suspects: Vec<_> = (0..128).map(|s| Subject::Request(n * 1_000 + s)).collect();
+        quarantine.on_crash(START.plus(n), n, &suspects);
+    }
+    let evidence = quarantine.evidence(START.plus(100));
+    let told: usize = evidence.crashes.iter().map(|c| c.suspects.len()).sum();
+    assert!(told <= 2_048, "{told}");
+    assert!(evidence.crashes.iter().any(|c| c.id == 63));
+}
