review: most streams of lost instances can't be taken up at the one left

Cause: the version of a stream is told to four instances at most, however few there are, and kept nowhere else; without it a stream is refused while two versions serve. Scripts tell errors of their own from broken rules, and the stand-ins use ports that are free for both protocols.

--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -19,8 +19,12 @@
 STANDINS = pathlib.Path(__file__).resolve().parent
 HOST = "desk.example"
 KEY = "n2ctnfzs989anu6wsjnb"
+OTHER_KEY = "anfqasnmgkcuyj8pjbvk"
 HEARTBEAT_S = 1.2
 
+# Exit code of a case whose rule was broken; run.sh turns it into 1, as Python ends with 1 on errors of its own.
+RULE_BROKEN = 10
+
 # As in the site files.
 BOUNDS = {
     "stable_window_ms": 3000,
@@ -39,10 +43,22 @@
     """The case could not be played."""
 
 
+taken_ports = set()
+
+
 def free_port(host):
-    with socket.socket() as s:
-        s.bind((host, 0))
-        return s.getsockname()[1]
+    """Returns a port that is free for TCP and UDP and has not been returned before."""
+    while True:
+        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+            tcp.bind((host, 0))
+            port = tcp.getsockname()[1]
+            try:
+                udp.bind((host, port))
+            except OSError:
+                continue
+        if port not in taken_ports:
+            taken_ports.add(port)
+            return port
 
 
 def render(template, fields):
@@ -68,6 +84,7 @@
         self.started = time.monotonic()
         self.record_file = open(record_path, "w", encoding="utf-8")
         self.events = []
+        self.is_over = False
 
     def record(self, **fields):
         fields = {"at_s": round(time.monotonic() - self.started, 3), **fields}
@@ -85,7 +102,7 @@
 
     # Runners
 
-    def start_runner(self, name, service, zone, slots=64, program="runner.py", **options):
+    def start_runner(self, name, service, zone, slots=64, program="runner.py", version="v1", **options):
         flags = [f"--{k.replace('_', '-')}={v}" for k, v in options.items()]
         process = self._spawn(sys.executable, STANDINS / program, "--id", name, *flags)
         address = json.loads(process.stdout.readline())["address"]
@@ -97,7 +114,7 @@
                 "service": service,
                 "address": address,
                 "zone": zone,
-                "version": "v1",
+                "version": version,
                 "slot_count": slots,
                 "state": "ready",
                 "cold_remaining_ms": 0,
@@ -121,6 +138,8 @@
             with self.lock:
                 if not runner["alive"]:
                     return
+                if runner["process"].poll() is not None:
+                    continue
                 runner["entry"]["call_seq"] += 1
                 entry = dict(runner["entry"])
             self.store.put("keyed.servers", runner["name"], entry)
@@ -150,6 +169,23 @@
         expire.daemon = True
         expire.start()
 
+    def revive(self, runner, after_s, **options):
+        """Starts a runner that has crashed again, under its id; its entry stays until then, if that is soon."""
+        runner["process"].wait()
+        time.sleep(after_s)
+        if self.is_over:
+            return
+        flags = [f"--{k.replace('_', '-')}={v}" for k, v in options.items()]
+        process = self._spawn(sys.executable, STANDINS / "runner.py", "--id", runner["name"], *flags)
+        address = json.loads(process.stdout.readline())["address"]
+        with self.lock:
+            runner["process"] = process
+            runner["entry"].update(address=address, state="ready", call_seq=1, born=int(time.time() * 1000))
+            entry = dict(runner["entry"])
+        self.store.put("keyed.servers", runner["name"], entry)
+        self.record(event="runner is back", runner=runner["name"])
+        threading.Thread(target=self._follow_runner, args=(runner,), daemon=True).start()
+
     def exit_runner(self, runner):
         """Lets a runner exit after a planned shutdown; its entry is removed once it has left."""
         self.record(event="runner exits", runner=runner["name"])
@@ -172,7 +208,10 @@
             "routes": routes,
             "services": services,
             "limits": limits,
-            "tenants": [{"name": "hule930", "api_keys": [KEY], "priority": 1}],
+            "tenants": [
+                {"name": "hule930", "api_keys": [KEY], "priority": 1},
+                {"name": "vani217", "api_keys": [OTHER_KEY], "priority": 1},
+            ],
         }
         self.store.put("keyed.op", "config", configuration)
         self.record(event="configuration acknowledged", version=version)
@@ -206,9 +245,15 @@
             "pid": process.pid,
         }
         self.instances.append(instance)
-        threading.Thread(target=lambda: [None for _ in process.stdout], daemon=True).start()
+        threading.Thread(target=self._follow_instance, args=(instance,), daemon=True).start()
         return instance
 
+    def _follow_instance(self, instance):
+        """Reads the log of an instance, and keeps its lines on what is refused for crashes."""
+        for line in instance["process"].stdout:
+            if "crashes upstreams" in line or "no longer refused" in line:
+                self.record(event="log line", of=instance["name"], line=json.loads(line[line.index("{") :]))
+
     def is_ready(self, instance):
         try:
             with socket.create_connection(instance["ready"], 1) as s:
@@ -227,6 +272,7 @@
         time.sleep(settle_s)
 
     def stop(self):
+        self.is_over = True
         for process in self.processes:
             if process.poll() is None:
                 process.kill()
@@ -256,12 +302,12 @@
         }
 
 
-def call(instance, rid, method, path, body=b"", deadline_ms=15000):
+def call(instance, rid, method, path, body=b"", deadline_ms=15000, headers=None, key=KEY):
     """Sends a request on a new connection and reads its answer to the end."""
     answer = Answer()
     try:
         with connect(instance) as s:
-            answer = call_on(s, rid, method, path, body, deadline_ms)
+            answer = call_on(s, rid, method, path, body, deadline_ms, headers, key)
     except OSError as e:
         answer.error = type(e).__name__
     return answer
@@ -271,12 +317,13 @@
     return socket.create_connection(instance["front"], 1)
 
 
-def call_on(s, rid, method, path, body=b"", deadline_ms=15000):
+def call_on(s, rid, method, path, body=b"", deadline_ms=15000, headers=None, key=KEY):
     """Sends a request on a connection and reads its answer to the end."""
     answer = Answer()
     try:
         head = f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nVanillakeel-Request-Id: {rid}\r\n"
-        head += f"Vanillakeel-Deadline-Ms: {deadline_ms}\r\nAuthorization: Bearer {KEY}\r\n"
+        head += f"Vanillakeel-Deadline-Ms: {deadline_ms}\r\nAuthorization: Bearer {key}\r\n"
+        head += "".join(f"{name}: {value}\r\n" for name, value in (headers or {}).items())
         if body or method == "POST":
             head += f"Content-Length: {len(body)}\r\n"
         s.settimeout(deadline_ms / 1000 + 1)
@@ -360,7 +407,7 @@
 
 
 def main(play):
-    """Runs a case: `play(deployment, has_trouble)` returns the faults seen. Exits with 1, 0 or 2."""
+    """Runs a case: `play(deployment, has_trouble)` returns the faults seen. Exits with RULE_BROKEN, 0 or 2."""
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record_path = pathlib.Path(sys.argv[1]) / "record.txt"
     if not BINARY.exists():
@@ -378,9 +425,9 @@
             deployment.record(event="RULE BROKEN", what=fault)
             print("rule broken:", fault)
         print(f"{len(faults)} faults seen, trouble {'on' if has_trouble else 'off'}")
-        code = 1 if faults else 0
-    except CannotRun as e:
-        print("could not run:", e)
+        code = RULE_BROKEN if faults else 0
+    except Exception as e:
+        print("could not run:", type(e).__name__, e)
         code = 2
     finally:
         deployment.stop()
--- a/review/standins/runner.py
+++ b/review/standins/runner.py
@@ -7,6 +7,7 @@
 The kind of answer is chosen by the path:
   /stream/..  a stream of EVENTS events, one write each, one each GAP_MS; the last one is marked
   /report/..  a body of BODY_BYTES, written in PIECES pieces, one each GAP_MS
+With --crash-part, a prompt with that part (Vanillakeel-Prefix-Hash) ends the process as it begins to answer.
 Without a length (--framing connection) the answer ends with its connection.
 """
 
@@ -27,6 +28,7 @@
 parser.add_argument("--body-bytes", type=int, default=4800)
 parser.add_argument("--gap-ms", type=int, default=100)
 parser.add_argument("--work-ms", type=int, default=20)
+parser.add_argument("--crash-part", help="id of a part of prompts on which the process crashes when it begins to answer")
 args = parser.parse_args()
 
 lock = threading.Lock()
@@ -84,6 +86,11 @@
                 continue
             report(event="runs", id=rid, method=method, path=path, body_bytes=len(body))
             time.sleep(args.work_ms / 1000)
+            parts = [part.split(":")[0] for part in headers.get("vanillakeel-prefix-hash", "").split(",")]
+            if args.crash_part in parts:
+                report(event="crashes", id=rid)
+                os._exit(1)
+            report(event="begins", id=rid)
             is_stream = path.startswith("/stream/")
             head = f"HTTP/1.1 200 OK\r\nVanillakeel-Request-Id: {rid}\r\n"
             head += f"Vanillakeel-Response-Seal: {args.id}.{rid}\r\n"
