--- a/review/standins/endless.py
+++ b/review/standins/endless.py
@@ -39,7 +39,8 @@
             left -= len(connection.recv(left))
         report(event="runs", id=rid)
         if in_trouble.is_set():
-            block = f"HTTP/1.1 102 Processing\r\nVanillakeel-Request-Id: {rid}\r\n\r\n".encode() * 10_000
+            head = f"HTTP/1.1 102 Processing\r\nDate: Sat, 05 Dec 2026 07:00:00 GMT\r\nConnection: keep-alive\r\n"
+            block = f"{head}Vanillakeel-Request-Id: {rid}\r\n\r\n".encode() * 10_000
             while True:
                 connection.sendall(block)
                 sent += len(block)
