--- a/crates/vanillakeel-bench/src/faults/streams.rs
+++ b/crates/vanillakeel-bench/src/faults/streams.rs
@@ -336,7 +336,7 @@
         if let Some(known) = self.instances[index].begun.software(now, id) {
             return Some(known);
         }
-        let keepers = self.instances[index].mesh.keepers_to_ask(id);
+        let keepers = self.instances[index].mesh.keepers_to_ask(now, id);
         let mut lookup = Lookup::new(keepers.iter().map(|k| Arc::clone(&k.name)).collect());
         for keeper in &keepers {
             let asked = self.delivered(index, keeper);
--- a/crates/vanillakeel-entry/src/gateway.rs
+++ b/crates/vanillakeel-entry/src/gateway.rs
@@ -41,6 +41,7 @@
 mod metrics;
 mod notices;
 mod operators;
+mod passed_streams;
 mod peers;
 mod progress;
 mod rate_limits;
--- a/crates/vanillakeel-entry/src/gateway/peers.rs
+++ b/crates/vanillakeel-entry/src/gateway/peers.rs
@@ -22,6 +22,7 @@
         loads_from_wire,
         loads_to_wire, //
     },
+    passed_streams,
     rate_limits,
     shared::Shared,
     streams,
@@ -52,6 +53,7 @@
         Summary, //
     },
     routes::Standing,
+    streams::Towards,
 };
 use vanillakeel_wire::{
     Message as _,
@@ -210,7 +212,11 @@
         let hub = shared.mesh.borrow().hub(now).cloned();
         if let Some(hub) = hub {
             shared.mesh.borrow_mut().on_sent(now, &hub.name);
-            datagrams::send(shared, socket, &hub, load_report(shared)).await;
+            let report = MeshReport {
+                streams: passed_streams::tell(shared, &hub, Towards::Hub),
+                ..load_report(shared)
+            };
+            datagrams::send(shared, socket, &hub, Kind::Report(report)).await;
         }
         // The mesh remembers the largest number from report to report.
         let sharing = shared.mesh.borrow_mut().sharing_instances(now).unwrap_or(0);
@@ -256,6 +262,7 @@
             crashes: crashes_to_wire(&shared.quarantine.borrow().evidence(now)),
             rates: rate_limits::to_wire(shared, now),
             roster: rate_limits::roster_for(shared, now, &peer.name, Scope::OwnDataCentre),
+            streams: passed_streams::tell(shared, &peer, Towards::Hub),
         };
         datagrams::send(shared, socket, &peer, Kind::Exchange(message)).await;
     }
@@ -265,9 +272,9 @@
 }
 
 /// Creates a report with the load of this instance.
-fn load_report(shared: &Shared) -> Kind {
+fn load_report(shared: &Shared) -> MeshReport {
     let now = shared.clock.now();
-    Kind::Report(MeshReport {
+    MeshReport {
         id: shared.report_ids.id(now),
         loads: Some(loads_to_wire(&shared.fleet.borrow().loads())),
         reads: Some(cache_notices_to_wire(shared, now)),
@@ -275,7 +282,8 @@
         version: shared.in_force.borrow().version(),
         crashes: crashes_to_wire(&shared.quarantine.borrow().evidence(now)),
         rates: rate_limits::to_wire(shared, now),
-    })
+        streams: None,
+    }
 }
 
 /// Receives datagrams for as long as the process runs.
@@ -320,6 +328,7 @@
             record_evidence(shared, now, report.crashes.as_ref());
             rate_limits::apply_told(shared, now, name, &report.rates);
             record_cache_notices(shared, now, report.reads.as_ref());
+            passed_streams::on_told(shared, name, report.streams.as_ref());
             let loads = loads_from_wire(report.loads.as_ref());
             let is_same_data_centre = {
                 let mut mesh = shared.mesh.borrow_mut();
@@ -332,7 +341,10 @@
                 is_same_data_centre
             };
             if is_same_data_centre && shared.stopping_since.get().is_none() {
-                let summary = summary(shared, now, name, report.id);
+                let summary = MeshSummary {
+                    streams: passed_streams::tell(shared, &peer, Towards::Member),
+                    ..summary(shared, now, name, report.id)
+                };
                 datagrams::send(shared, socket, &peer, Kind::Summary(summary)).await;
             }
         }
@@ -342,6 +354,7 @@
             rate_limits::apply_told(shared, now, name, &exchange.rates);
             shared.roster.borrow_mut().on_heard(now, &exchange.roster);
             record_cache_notices(shared, now, exchange.reads.as_ref());
+            passed_streams::on_told(shared, name, exchange.streams.as_ref());
             let loads = loads_from_wire(exchange.loads.as_ref());
             let mut mesh = shared.mesh.borrow_mut();
             mesh.on_exchange(now, name, &message.data_centre, loads, exchange.instances);
@@ -356,6 +369,7 @@
         Some(Kind::TextPart(part)) => texts::on_part(shared, &part),
         Some(Kind::LogView(view)) => log_views::on_view(shared, now, name, &view),
         Some(Kind::Streams(told)) => streams::on_told(shared, &told),
+        Some(Kind::PassedStreams(told)) => passed_streams::on_told(shared, name, Some(&told)),
         Some(Kind::StreamQuery(query)) => {
             let answer = streams::answer(shared, &query);
             datagrams::send(shared, socket, &peer, Kind::StreamAnswer(answer)).await;
@@ -410,6 +424,7 @@
         instances: summary.instances,
     };
     shared.mesh.borrow_mut().on_summary(now, hub, received);
+    passed_streams::on_told(shared, hub, summary.streams.as_ref());
     record_cache_notices(shared, now, summary.reads.as_ref());
     record_evidence(shared, now, summary.crashes.as_ref());
     rate_limits::apply_told(shared, now, hub, &summary.rates);
--- a/crates/vanillakeel-entry/src/gateway/shared.rs
+++ b/crates/vanillakeel-entry/src/gateway/shared.rs
@@ -73,7 +73,8 @@
     streams::{
         self,
         BegunStreams,
-        ServedVersions, //
+        ServedVersions,
+        Spread, //
     },
 };
 
@@ -138,6 +139,8 @@
     pub(super) mesh_socket: RefCell<Option<Rc<UdpSocket>>>,
     /// Streams whose software version is known here.
     pub(super) begun_streams: RefCell<BegunStreams>,
+    /// What peers are told of these streams.
+    pub(super) spread: RefCell<Spread>,
     /// Software versions that have served lately.
     pub(super) served_versions: RefCell<ServedVersions>,
     /// Wakes the task that reads the upstreams.
@@ -206,6 +209,7 @@
             ..Peer::default()
         };
         let seed = order::hash(&settings.instance.name);
+        let log = order::weight_for(wall_ms(), &settings.instance.name);
         let quarantine = settings.quarantine.to_library();
         let roster = match settings.listen.peers {
             Some(_) => Roster::new(&me.name, division::Settings::default()),
@@ -226,6 +230,7 @@
             report_ids: ReportIds::new(wall_ms()),
             mesh_socket: RefCell::default(),
             begun_streams: RefCell::new(BegunStreams::new(streams::Settings::default())),
+            spread: RefCell::new(Spread::new(log)),
             served_versions: RefCell::default(),
             read_upstreams: Notify::new(),
             upstreams_read: Notify::new(),
--- a/crates/vanillakeel-entry/src/gateway/streams.rs
+++ b/crates/vanillakeel-entry/src/gateway/streams.rs
@@ -1,7 +1,8 @@
 //! Streams that callers take up with another request.
 //!
 //! [`on_first_event`] tells the keepers of a stream by which software version it began, before the first
-//! event is relayed. [`software_of`] finds the version for a request that continues a stream: in the
+//! event is relayed; what all others are told stands in [`passed_streams`](super::passed_streams).
+//! [`software_of`] finds the version for a request that continues a stream: in the
 //! memory of this instance, by asking the keepers, or since only one version can have begun the stream.
 
 use super::{
@@ -107,12 +108,14 @@
     }
 }
 
-/// Tells the keepers of all known streams, since this instance is stopping.
+/// Tells the keepers of the streams that not all peers with which this instance exchanges streams have got yet, since it is
+/// stopping.
 pub(super) fn hand_over(shared: &Shared) {
     let now = shared.clock.now();
+    let missing_from = shared.spread.borrow().missing_from(now);
     let mut messages: Vec<(Peer, MeshStreams)> = Vec::new();
     let begun = shared.begun_streams.borrow();
-    for (stream, software) in begun.iter(now) {
+    for (stream, software) in begun.iter_from(now, missing_from) {
         for keeper in shared.mesh.borrow().keepers(stream) {
             let at = match messages.binary_search_by(|(peer, _)| peer.name.cmp(&keeper.name)) {
                 Ok(at) => at,
@@ -123,7 +126,7 @@
             };
             let (keeper, told) = &mut messages[at];
             told.streams.push(stream.get());
-            told.software.push(software.to_owned());
+            told.software.push(software.to_string());
             if told.streams.len() == MAX_STREAMS_PER_DATAGRAM {
                 let told = std::mem::take(told);
                 datagrams::try_send(shared, keeper, Message::Streams(told));
@@ -140,7 +143,7 @@
     let now = shared.clock.now();
     let mut begun = shared.begun_streams.borrow_mut();
     for (stream, software) in streams.streams.iter().zip(&streams.software) {
-        begun.record(now, StreamId::new(*stream), software);
+        begun.record_told(now, StreamId::new(*stream), software);
     }
 }
 
@@ -170,7 +173,7 @@
     }
     if let Some(software) = &answer.software {
         let mut begun = shared.begun_streams.borrow_mut();
-        begun.record(shared.clock.now(), stream, software);
+        begun.record_told(shared.clock.now(), stream, software);
     }
     for lookup in pending {
         if answer.software.is_none() {
@@ -233,7 +236,8 @@
     request: &RoutedRequest,
 ) -> Result<(Arc<str>, KnownBy), Refusal> {
     let stream = request.stream();
-    let keepers = shared.mesh.borrow().keepers_to_ask(stream);
+    let now = shared.clock.now();
+    let keepers = shared.mesh.borrow().keepers_to_ask(now, stream);
     let names = keepers.iter().map(|k| Arc::clone(&k.name)).collect();
     let lookup = RegisteredLookup::new(shared, stream, Lookup::new(names));
     let question = Message::StreamQuery(MeshStreamQuery {
--- a/crates/vanillakeel-wire/src/generated.rs
+++ b/crates/vanillakeel-wire/src/generated.rs
@@ -211,7 +211,10 @@
     /// Bandwidth of the sender's link in Mbit/s, zero if unknown.
     #[prost(uint32, tag = "7")]
     pub link_mbps: u32,
-    #[prost(oneof = "mesh_message::Kind", tags = "3, 4, 5, 6, 8, 9, 10, 11, 12, 13, 14")]
+    #[prost(
+        oneof = "mesh_message::Kind",
+        tags = "3, 4, 5, 6, 8, 9, 10, 11, 12, 13, 14, 15"
+    )]
     pub kind: ::core::option::Option<mesh_message::Kind>,
 }
 /// Nested message and enum types in `MeshMessage`.
@@ -242,6 +245,9 @@
         TextQuery(super::MeshTextQuery),
         #[prost(message, tag = "14")]
         TextPart(super::MeshTextPart),
+        /// What does not fit into a report, a summary or an exchange.
+        #[prost(message, tag = "15")]
+        PassedStreams(super::MeshPassedStreams),
     }
 }
 /// Load that an instance or a data centre puts on upstreams; lists of equal length, in ascending
@@ -284,6 +290,8 @@
     pub crashes: ::core::option::Option<MeshCrashes>,
     #[prost(message, repeated, tag = "7")]
     pub rates: ::prost::alloc::vec::Vec<NamedRate>,
+    #[prost(message, optional, tag = "8")]
+    pub streams: ::core::option::Option<MeshPassedStreams>,
 }
 /// What the head of an answer said of the rate that an upstream takes. Times are ages, in ms.
 #[derive(Clone, Copy, PartialEq, ::prost::Message)]
@@ -386,6 +394,8 @@
     /// Hashes of the names of all instances that have been heard lately; empty if they were told lately.
     #[prost(fixed32, repeated, tag = "13")]
     pub roster: ::prost::alloc::vec::Vec<u32>,
+    #[prost(message, optional, tag = "14")]
+    pub streams: ::core::option::Option<MeshPassedStreams>,
 }
 /// The question of a hub that the log does not serve, to a member that it serves: what the log holds.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -440,6 +450,8 @@
     /// Hashes of the names of the instances of the data centre; empty if they were told lately.
     #[prost(fixed32, repeated, tag = "7")]
     pub roster: ::prost::alloc::vec::Vec<u32>,
+    #[prost(message, optional, tag = "8")]
+    pub streams: ::core::option::Option<MeshPassedStreams>,
 }
 /// Streams that have begun, for the instances that keep them; lists of equal length.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -451,6 +463,47 @@
     #[prost(string, repeated, tag = "2")]
     pub software: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
+/// Streams that have begun, passed on to all instances.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct MeshPassedStreams {
+    /// Identifies the sender's numbering of its records.
+    #[prost(fixed64, tag = "1")]
+    pub log: u64,
+    /// Number of the first record that the message covers, and the number after the last one.
+    #[prost(uint64, tag = "2")]
+    pub first: u64,
+    #[prost(uint64, tag = "3")]
+    pub next: u64,
+    /// Whether the message begins where the receiver has asked for.
+    #[prost(bool, tag = "4")]
+    pub start: bool,
+    /// Whether other hubs know the streams from elsewhere.
+    #[prost(bool, tag = "5")]
+    pub relayed: bool,
+    /// Hashes of the ids of the requests that brought their first events, with positions in the list of
+    /// versions and the times since they began or went on, in units of 100 ms; lists of equal length.
+    #[prost(fixed64, repeated, tag = "6")]
+    pub streams: ::prost::alloc::vec::Vec<u64>,
+    #[prost(uint32, repeated, tag = "7")]
+    pub version_at: ::prost::alloc::vec::Vec<u32>,
+    #[prost(uint32, repeated, tag = "8")]
+    pub ages: ::prost::alloc::vec::Vec<u32>,
+    /// Versions of the upstreams' software.
+    #[prost(string, repeated, tag = "9")]
+    pub versions: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// The receiver's numbering as far as the sender knows it, and the first number that it misses.
+    #[prost(fixed64, tag = "10")]
+    pub known_log: u64,
+    #[prost(uint64, tag = "11")]
+    pub known_next: u64,
+    /// Set if the sender does not know the receiver's records: the time in which it may have missed streams,
+    /// in ms.
+    #[prost(uint32, optional, tag = "12")]
+    pub missed_age: ::core::option::Option<u32>,
+    /// Whether the sender asks for all streams, also those that the receiver has not begun.
+    #[prost(bool, tag = "13")]
+    pub wants_all: bool,
+}
 /// A question for the software version that began a stream.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct MeshStreamQuery {
--- a/crates/vanillakeel/src/mesh/keepers.rs
+++ b/crates/vanillakeel/src/mesh/keepers.rs
@@ -1,21 +1,27 @@
-//! The keepers of a stream: the instances that know by which version it began.
+//! The keepers of a stream: the instances that are told by which version it began before its caller gets
+//! the first event.
 //!
-//! They follow from the stream and the names of the instances, so that an instance that is asked to go
+//! Among few instances all are keepers. Otherwise they follow from the stream and the names of the instances, so that an instance that is asked to go
 //! on with a stream finds them without knowing which instance began it. Two are in the data centre of
 //! the instance that began the stream, since its caller probably returns there and the data centre may
 //! be cut off from the others, and one each in two other data centres. One more of each is asked than
-//! told, since the asking instance may be one of them or know an instance that has gone.
+//! told, since the asking instance may be one of them or know an instance that has gone. The hub is asked,
+//! too: it has answered lately, while the keepers may all have ended.
 
 use super::{
     Mesh,
     Peer, //
 };
 use crate::{
+    Millis,
     order,
     streams::StreamId, //
 };
 use std::cmp::Reverse;
 
+/// Largest number of peers of which all are keepers.
+const MAX_PEERS_AS_KEEPERS: usize = 8;
+
 /// Keepers in the data centre of the instance that began a stream.
 const OWN_KEEPERS: usize = 2;
 
@@ -31,11 +37,17 @@
 
     /// Returns the instances that are asked for a stream which this instance does not know.
     #[must_use]
-    pub fn keepers_to_ask(&self, stream: StreamId) -> Vec<Peer> {
-        self.ranked_keepers(stream, OWN_KEEPERS + 1, OTHER_DATA_CENTRES + 1)
+    pub fn keepers_to_ask(&self, now: Millis, stream: StreamId) -> Vec<Peer> {
+        let mut asked = self.ranked_keepers(stream, OWN_KEEPERS + 1, OTHER_DATA_CENTRES + 1);
+        let hub = self.hub(now).filter(|hub| !asked.contains(hub));
+        asked.extend(hub.cloned());
+        asked
     }
 
     fn ranked_keepers(&self, stream: StreamId, own: usize, others: usize) -> Vec<Peer> {
+        if self.len() <= MAX_PEERS_AS_KEEPERS {
+            return self.peers().cloned().collect();
+        }
         let weight = |name: &str| order::weight_for(stream.get(), name);
         let mut data_centres: Vec<&str> = self.peers().map(|p| &*p.data_centre).collect();
         data_centres.sort_unstable();
--- a/crates/vanillakeel/src/streams.rs
+++ b/crates/vanillakeel/src/streams.rs
@@ -3,8 +3,9 @@
 //! A stream may only go on at the software version that began it. The caller names the request that
 //! brought the first event, and may do so at any instance, also after the first one has ended. The
 //! instance that relays the first event therefore tells a few others, the *keepers* of the stream,
-//! before the caller gets it ([`Mesh::keepers`](crate::mesh::Mesh::keepers)). An instance that does not
-//! know a stream asks them. A stream that nobody knows can still go on while only one version
+//! before the caller gets it ([`Mesh::keepers`](crate::mesh::Mesh::keepers)). All others are told within a
+//! few exchanges of load ([`Spread`]), so that any instance which is left can go on with the streams of
+//! all that have ended. An instance that does not know a stream asks the keepers. A stream that nobody knows can still go on while only one version
 //! [has served](ServedVersions) for as long as streams live.
 //!
 //! ```
@@ -19,6 +20,7 @@
 mod begun;
 mod lookup;
 mod served;
+mod spread;
 
 pub use self::{
     begun::{
@@ -26,7 +28,15 @@
         Settings, //
     },
     lookup::Lookup,
-    served::ServedVersions, //
+    served::ServedVersions,
+    spread::{
+        Known,
+        MAX_STREAMS_PER_MESSAGE,
+        PassedStream,
+        Spread,
+        Told,
+        Towards, //
+    },
 };
 
 use crate::order;
--- a/crates/vanillakeel/src/streams/begun.rs
+++ b/crates/vanillakeel/src/streams/begun.rs
@@ -2,14 +2,21 @@
 
 use super::StreamId;
 use crate::Millis;
-use std::sync::Arc;
+use std::{
+    collections::VecDeque,
+    sync::Arc, //
+};
+
+/// Time by which a stream that is told of again has to begin later to be recorded again, in ms; the ages
+/// that travel with streams are less exact.
+const NEWER_MS: u64 = 1_000;
 
 /// Settings of [`BegunStreams`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Settings {
     /// Time for which a stream is known after it has begun or was taken up, in ms.
     pub remembered_ms: u64,
-    /// Most streams that are known at once; the ones that end first make room for others.
+    /// Most streams that are known at once; the ones that were recorded first make room for others.
     pub max_streams: usize,
 }
 
@@ -22,20 +29,32 @@
     }
 }
 
+/// A record that a stream has begun or gone on.
 #[derive(Clone, Debug)]
-struct Begun {
-    stream: StreamId,
-    software: Arc<str>,
-    known_until: Millis,
+pub(super) struct Begun {
+    pub(super) stream: StreamId,
+    /// Position in the table of versions.
+    pub(super) version: u16,
+    /// Whether it has come down the tree, so that other hubs know it from elsewhere.
+    pub(super) is_relayed: bool,
+    /// Time at which the stream is forgotten.
+    pub(super) known_until: Millis,
 }
 
 /// The streams whose version is known here: those that began here, and those that peers have told of.
+///
+/// Records are numbered in the order in which they were made, so that [`Spread`](super::Spread) can say
+/// up to which one a peer knows them.
 #[derive(Clone, Debug)]
 pub struct BegunStreams {
     settings: Settings,
-    /// Sorted by id.
-    streams: Vec<Begun>,
-    /// Versions that occur, so that streams share them.
+    /// In the order in which they were recorded.
+    records: VecDeque<Begun>,
+    /// Number of the first record.
+    first: u64,
+    /// Low bits of the numbers of the records that count, sorted by stream.
+    index: Vec<u32>,
+    /// Versions that have occurred.
     versions: Vec<Arc<str>>,
     /// Time from which the next record first drops what has expired.
     sweep_at: Millis,
@@ -47,7 +66,9 @@
     pub const fn new(settings: Settings) -> Self {
         Self {
             settings,
-            streams: Vec::new(),
+            records: VecDeque::new(),
+            first: 0,
+            index: Vec::new(),
             versions: Vec::new(),
             sweep_at: Millis::ZERO,
         }
@@ -58,78 +79,185 @@
         self.settings.remembered_ms = remembered_ms;
     }
 
+    /// Returns the time for which a stream is known after it has begun or was taken up, in ms.
+    #[must_use]
+    pub const fn remembered_ms(&self) -> u64 {
+        self.settings.remembered_ms
+    }
+
     /// Records that a stream has begun or gone on at a version.
     pub fn record(&mut self, now: Millis, stream: StreamId, software: &str) {
-        if now >= self.sweep_at || self.streams.len() >= self.settings.max_streams {
+        let known_until = now.plus(self.settings.remembered_ms);
+        self.insert(now, stream, software, known_until, false);
+    }
+
+    /// Records a stream of which an instance tells that has relayed its first event.
+    pub fn record_told(&mut self, now: Millis, stream: StreamId, software: &str) {
+        let is_known = self.find_record(stream).is_some_and(|known| {
+            let known_until = now.plus(self.settings.remembered_ms);
+            *self.versions[usize::from(known.version)] == *software
+                && known_until.since(known.known_until) <= NEWER_MS
+        });
+        if !is_known {
+            self.record(now, stream, software);
+        }
+    }
+
+    /// Records a stream that has begun or gone on `age_ms` ago, by what a peer has passed on, unless this
+    /// instance knows as much.
+    ///
+    /// `is_relayed` tells whether it has come down the tree of instances.
+    pub(super) fn record_passed(
+        &mut self,
+        now: Millis,
+        stream: StreamId,
+        software: &str,
+        age_ms: u64,
+        is_relayed: bool,
+    ) {
+        let known_until = now.plus(self.settings.remembered_ms).minus(age_ms);
+        let known = self.find_record(stream);
+        let is_newer = known.is_none_or(|k| known_until.since(k.known_until) > NEWER_MS);
+        if now < known_until && is_newer {
+            self.insert(now, stream, software, known_until, is_relayed);
+        }
+    }
+
+    fn insert(
+        &mut self,
+        now: Millis,
+        stream: StreamId,
+        software: &str,
+        known_until: Millis,
+        is_relayed: bool,
+    ) {
+        if now >= self.sweep_at || self.records.len() >= self.settings.max_streams {
             self.sweep(now);
         }
-        let software = self.shared_version(software);
-        let known_until = now.plus(self.settings.remembered_ms);
-        let begun = Begun {
-            stream,
-            software,
-            known_until,
+        let Some(version) = self.version_number(software) else {
+            return;
         };
+        let number = self.end() as u32;
         match self.find(stream) {
-            Ok(at) => self.streams[at] = begun,
-            Err(at) => self.streams.insert(at, begun),
+            Ok(at) => self.index[at] = number,
+            Err(at) => self.index.insert(at, number),
         }
+        self.records.push_back(Begun {
+            stream,
+            version,
+            is_relayed,
+            known_until,
+        });
     }
 
     /// Returns the version that began a stream, if it is known.
     #[must_use]
     pub fn software(&self, now: Millis, stream: StreamId) -> Option<Arc<str>> {
-        let begun = &self.streams[self.find(stream).ok()?];
-        (now < begun.known_until).then(|| Arc::clone(&begun.software))
+        let begun = self.find_record(stream)?;
+        (now < begun.known_until).then(|| Arc::clone(&self.versions[usize::from(begun.version)]))
     }
 
-    /// Returns all streams that are known, with their versions.
-    pub fn iter(&self, now: Millis) -> impl Iterator<Item = (StreamId, &str)> {
-        self.streams
+    /// Returns the streams that were recorded from the record `number` on, with their versions.
+    pub fn iter_from(
+        &self,
+        now: Millis,
+        number: u64,
+    ) -> impl Iterator<Item = (StreamId, &Arc<str>)> {
+        let skipped = usize::try_from(number.saturating_sub(self.first)).unwrap_or(usize::MAX);
+        self.records
             .iter()
+            .skip(skipped)
             .filter(move |b| now < b.known_until)
-            .map(|b| (b.stream, &*b.software))
+            .map(|b| (b.stream, &self.versions[usize::from(b.version)]))
     }
 
-    /// Returns the number of streams in memory.
+    /// Returns the number of records in memory.
     #[must_use]
-    pub const fn len(&self) -> usize {
-        self.streams.len()
+    pub fn len(&self) -> usize {
+        self.records.len()
     }
 
     /// Returns whether no stream is in memory.
     #[must_use]
-    pub const fn is_empty(&self) -> bool {
-        self.streams.is_empty()
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Returns the number of the first record in memory.
+    pub(super) const fn first(&self) -> u64 {
+        self.first
+    }
+
+    /// Returns the number that the next record gets.
+    #[must_use]
+    pub fn end(&self) -> u64 {
+        self.first + self.records.len() as u64
+    }
+
+    /// Returns the record with a number that is in memory.
+    pub(super) fn get(&self, number: u64) -> Option<&Begun> {
+        let at = number.checked_sub(self.first)?;
+        self.records.get(usize::try_from(at).ok()?)
+    }
+
+    /// Returns the name of a version.
+    pub(super) fn version(&self, number: u16) -> &Arc<str> {
+        &self.versions[usize::from(number)]
+    }
+
+    /// Returns the number of the first record of a stream that has begun or gone on since a time.
+    pub(super) fn first_since(&self, since: Millis) -> u64 {
+        let known_until = since.plus(self.settings.remembered_ms);
+        let older = self.records.iter().rev();
+        let later = older.take_while(|b| b.known_until >= known_until).count();
+        self.end() - later as u64
+    }
+
+    fn find_record(&self, stream: StreamId) -> Option<&Begun> {
+        let at = self.find(stream).ok()?;
+        Some(&self.records[self.offset(self.index[at])])
+    }
+
+    /// Returns the position of a record whose number has these low bits.
+    const fn offset(&self, number: u32) -> usize {
+        number.wrapping_sub(self.first as u32) as usize
     }
 
     fn find(&self, stream: StreamId) -> Result<usize, usize> {
-        self.streams.binary_search_by_key(&stream, |b| b.stream)
+        let stream_of = |number: &u32| self.records[self.offset(*number)].stream;
+        self.index.binary_search_by_key(&stream, stream_of)
     }
 
-    fn shared_version(&mut self, software: &str) -> Arc<str> {
-        let known = self.versions.iter().find(|v| ***v == *software);
-        if let Some(known) = known {
-            return Arc::clone(known);
-        }
-        let version: Arc<str> = Arc::from(software);
-        self.versions.push(Arc::clone(&version));
-        version
+    /// Returns the number of a version, or `None` if there are too many.
+    fn version_number(&mut self, software: &str) -> Option<u16> {
+        let known = self.versions.iter().position(|v| **v == *software);
+        let number = known.unwrap_or_else(|| {
+            self.versions.push(Arc::from(software));
+            self.versions.len() - 1
+        });
+        u16::try_from(number).ok()
     }
 
-    /// Drops what has expired and, at the limit, the tenth that expires first.
+    /// Drops the first records that have expired and, at the limit, a tenth more.
     fn sweep(&mut self, now: Millis) {
         self.sweep_at = now.plus(self.settings.remembered_ms / 8 + 1);
-        self.streams.retain(|b| now < b.known_until);
+        let expired = self.records.iter().take_while(|b| now >= b.known_until);
         let max = self.settings.max_streams;
-        if self.streams.len() >= max {
-            let mut ends: Vec<Millis> = self.streams.iter().map(|b| b.known_until).collect();
-            ends.sort_unstable();
-            let first_kept = ends[(self.streams.len() - max + max / 10).min(ends.len() - 1)];
-            self.streams.retain(|b| b.known_until >= first_kept);
+        let surplus = match self.records.len() {
+            len if len >= max => len - max + max.div_ceil(10),
+            _ => 0,
+        };
+        let dropped = expired.count().max(surplus).min(self.records.len());
+        if dropped == 0 {
+            return;
+        }
+        let first = self.first as u32;
+        self.index
+            .retain(|number| number.wrapping_sub(first) as usize >= dropped);
+        self.records.drain(..dropped);
+        self.first += dropped as u64;
+        if self.records.is_empty() {
+            self.versions.clear();
         }
-        let streams = &self.streams;
-        self.versions
-            .retain(|v| streams.iter().any(|b| Arc::ptr_eq(&b.software, v)));
     }
 }
--- a/crates/vanillakeel/tests/begun_streams.rs
+++ b/crates/vanillakeel/tests/begun_streams.rs
@@ -99,7 +99,7 @@
             let asking = mesh(other, &unknown);
             for number in 0..50 {
                 let told = mesh(first, &[]).keepers(stream(number));
-                let asked = asking.keepers_to_ask(stream(number));
+                let asked = asking.keepers_to_ask(NOW, stream(number));
                 let found = told.iter().filter(|k| asked.contains(k) || *k == other);
                 assert!(found.count() > 0, "{first:?} {other:?}: {told:?} {asked:?}");
                 assert!(!told.contains(first) && !asked.contains(other));
@@ -118,7 +118,7 @@
         for other in members.iter().filter(|p| *p != first) {
             for number in 0..50 {
                 let told = mesh(first, &[]).keepers(stream(number));
-                let asked = mesh(other, &[]).keepers_to_ask(stream(number));
+                let asked = mesh(other, &[]).keepers_to_ask(NOW, stream(number));
                 let is_found = |k: &&Peer| *k == *other || asked.contains(k);
                 let mut own = told.iter().filter(|k| members.contains(k));
                 assert!(own.any(|k| is_found(&k)), "{told:?} {asked:?}");
@@ -133,7 +133,7 @@
     for me in all_peers() {
         let mesh = mesh(&me, &[]);
         assert!(mesh.keepers(stream(1)).len() <= 4);
-        assert!(mesh.keepers_to_ask(stream(1)).len() <= 6);
+        assert!(mesh.keepers_to_ask(NOW, stream(1)).len() <= 6);
     }
     let alone = Mesh::new(peer(0, 0), MeshSettings::default());
     assert!(alone.keepers(stream(1)).is_empty());
