--- a/crates/vanillakeel-entry/src/gateway/relay.rs
+++ b/crates/vanillakeel-entry/src/gateway/relay.rs
@@ -18,7 +18,10 @@
         Attempts,
         SendFailure, //
     },
-    framing::BodyFraming,
+    framing::{
+        self,
+        BodyFraming, //
+    },
     lines,
     progress::Progress,
     relayed_events::{
@@ -200,6 +203,12 @@
                     let relayed = data.and_then(|data| self.on_data(data));
                     if self.events.as_ref().is_some_and(RelayedEvents::is_too_long) {
                         self.on_endless_event();
+                    } else if self
+                        .events
+                        .as_ref()
+                        .is_some_and(RelayedEvents::is_out_of_order)
+                    {
+                        self.on_unfit_run("continued with another event than the next one");
                     } else if let Some(bytes) = relayed {
                         return Poll::Ready(Some(Ok(Frame::data(bytes))));
                     }
@@ -303,6 +312,11 @@
             self.on_upstream_failure(call, "ended within an event", None);
             return;
         }
+        let awaits_next_event = self.events.as_ref();
+        if awaits_next_event.is_some_and(RelayedEvents::awaits_next_event) {
+            self.on_upstream_failure(call, "continued without an event", None);
+            return;
+        }
         if self.events.is_none() || call.framing != BodyFraming::Connection {
             self.complete(call);
             return;
@@ -329,6 +343,14 @@
         }
     }
 
+    /// Ends the body, since the run that was to continue the stream does not.
+    fn on_unfit_run(&mut self, reason: &str) {
+        if let Some(call) = self.take_call() {
+            self.log_cut(Some(&call), reason, None);
+            call.finish(CallOutcome::Failed);
+        }
+    }
+
     /// Ends a complete body.
     fn complete(&mut self, call: Call) {
         let ending = self.ending(&call);
@@ -431,16 +453,24 @@
 
     /// Continues with the upstream that resumes the stream, or ends the body.
     fn on_resumed(&mut self, (attempts, result): ResumeResult) {
-        self.state = match result {
-            Ok((call, response)) if response.status().is_success() => {
-                RelayState::Receiving(Box::new((call, response.into_body())))
-            }
-            _ => RelayState::Broken,
-        };
         self.attempts = Some(attempts);
+        self.state = RelayState::Broken;
+        let Ok((call, response)) = result else {
+            return;
+        };
+        let is_stream = continues_stream(&response);
+        self.state = RelayState::Receiving(Box::new((call, response.into_body())));
+        if !is_stream {
+            self.on_unfit_run("continued by an answer that is no stream");
+        }
     }
 }
 
+/// Returns whether an answer can continue a stream: a 204 has no events, and a 206 is a part of another body.
+fn continues_stream<B>(response: &Response<B>) -> bool {
+    response.status() == StatusCode::OK && framing::has_events(response.headers(), true)
+}
+
 /// Result of a poll of the upstream.
 enum Polled {
     Frame(Option<Result<Frame<Bytes>, hyper::Error>>),
--- a/crates/vanillakeel-entry/src/gateway/relayed_events.rs
+++ b/crates/vanillakeel-entry/src/gateway/relayed_events.rs
@@ -35,7 +35,9 @@
     /// Number of bytes after the last complete event.
     partial_bytes: u64,
     /// Whether the next bytes are the first ones of a run that continues the stream.
-    is_continued: bool,
+    is_restarted: bool,
+    /// Whether the run continues a stream and has not brought an event yet.
+    awaits_next_event: bool,
 }
 
 impl RelayedEvents {
@@ -46,7 +48,8 @@
             is_resumable,
             held: BytesMut::new(),
             partial_bytes: 0,
-            is_continued: false,
+            is_restarted: false,
+            awaits_next_event: false,
         }
     }
 
@@ -61,6 +64,17 @@
         if !self.is_resumable {
             return Some(data);
         }
+        if self.awaits_next_event {
+            match self.scanner.is_continued() {
+                Some(true) => self.awaits_next_event = false,
+                Some(false) => return None,
+                // Comments before the next event are held back with it.
+                None => {
+                    self.held.extend_from_slice(&data);
+                    return None;
+                }
+            }
+        }
         let Some(complete) = complete else {
             self.held.extend_from_slice(&data);
             return None;
@@ -69,7 +83,7 @@
         self.held.extend_from_slice(complete);
         let mut relayed = self.held.split().freeze();
         self.held.extend_from_slice(partial);
-        if std::mem::take(&mut self.is_continued) && relayed.starts_with(BYTE_ORDER_MARK) {
+        if std::mem::take(&mut self.is_restarted) && relayed.starts_with(BYTE_ORDER_MARK) {
             let _ = relayed.split_to(BYTE_ORDER_MARK.len());
         }
         Some(relayed)
@@ -102,8 +116,18 @@
     }
 
     /// Returns whether the event that has begun is too long to be one.
-    pub(super) const fn is_too_long(&self) -> bool {
-        self.partial_bytes > MAX_EVENT_BYTES
+    pub(super) fn is_too_long(&self) -> bool {
+        self.partial_bytes.max(self.held.len() as u64) > MAX_EVENT_BYTES
+    }
+
+    /// Returns whether the run continues the stream and has not brought the next event yet.
+    pub(super) const fn awaits_next_event(&self) -> bool {
+        self.awaits_next_event
+    }
+
+    /// Returns whether the run that was to continue the stream has brought another event than the next one.
+    pub(super) fn is_out_of_order(&self) -> bool {
+        self.awaits_next_event && self.scanner.is_continued() == Some(false)
     }
 
     /// Returns the number of bytes after the last complete event.
@@ -116,7 +140,8 @@
         self.scanner.restart();
         self.held.clear();
         self.partial_bytes = 0;
-        self.is_continued = true;
+        self.is_restarted = true;
+        self.awaits_next_event = true;
     }
 }
 
--- a/crates/vanillakeel-http/src/event_scanner.rs
+++ b/crates/vanillakeel-http/src/event_scanner.rs
@@ -3,6 +3,8 @@
 //! [`EventScanner`] follows the lines of the stream without keeping their content, so it can run
 //! beside the bytes that are forwarded.
 
+use crate::event_order::EventOrder;
+
 /// Byte order mark, which may precede the first line of a stream.
 const BYTE_ORDER_MARK: &[u8] = b"\xef\xbb\xbf";
 
@@ -44,6 +46,7 @@
     last_event_id: Option<String>,
     /// Whether events with data have followed the last one with an id.
     has_events_after_id: bool,
+    order: EventOrder,
 }
 
 impl EventScanner {
@@ -100,13 +103,25 @@
 
     /// Starts anew with another stream that continues this one after the last complete event.
     pub fn restart(&mut self) {
+        self.order.restart();
         *self = Self {
             last_event_id: self.last_event_id.take(),
             has_events_after_id: self.has_events_after_id,
+            order: std::mem::take(&mut self.order),
             ..Self::default()
         };
     }
 
+    /// Returns whether the stream that continues this one goes on with the next event, or `None` until an event of it is
+    /// complete.
+    ///
+    /// It does not if it begins with an event that the stream had before. While all ids are numbers that rise by the
+    /// same step, it does not either if it leaves events out.
+    #[must_use]
+    pub const fn is_continued(&self) -> Option<bool> {
+        self.order.is_continued()
+    }
+
     fn on_line_end(&mut self) {
         let mut line = &*self.line;
         let mut length = self.line_length;
@@ -135,6 +150,9 @@
     fn on_event_end(&mut self) {
         self.has_fields = false;
         let has_data = std::mem::take(&mut self.has_data);
+        if has_data || self.next_id.is_some() {
+            self.order.on_event(self.next_id.as_deref());
+        }
         if let Some(id) = self.next_id.take() {
             self.last_event_id = Some(id);
             self.has_events_after_id = false;
--- a/crates/vanillakeel-http/src/lib.rs
+++ b/crates/vanillakeel-http/src/lib.rs
@@ -20,6 +20,7 @@
 
 mod body;
 mod client;
+mod event_order;
 mod event_scanner;
 mod events;
 mod server;
