--- a/crates/vanillakeel-entry/src/gateway/answer.rs
+++ b/crates/vanillakeel-entry/src/gateway/answer.rs
@@ -109,6 +109,8 @@
     Broken,
     /// the time was over after the request was sent
     TimedOut,
+    /// the instance stopped before the upstream had answered
+    Stopped,
 }
 
 impl Refusal {
@@ -136,6 +138,7 @@
             Self::VersionGone => "version_gone",
             Self::Broken => "broken",
             Self::TimedOut => "timed_out",
+            Self::Stopped => "stopped",
         }
     }
 
@@ -161,14 +164,14 @@
             | Self::RequestQuarantined(_)
             | Self::VersionGone => StatusCode::SERVICE_UNAVAILABLE,
             Self::Broken => StatusCode::BAD_GATEWAY,
-            Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+            Self::TimedOut | Self::Stopped => StatusCode::GATEWAY_TIMEOUT,
         }
     }
 
     /// Returns whether an upstream may have run the request.
     pub(super) const fn verdict(self) -> Verdict {
         match self {
-            Self::Broken | Self::TimedOut => Verdict::MayHaveRun,
+            Self::Broken | Self::TimedOut | Self::Stopped => Verdict::MayHaveRun,
             _ => Verdict::NotRun,
         }
     }
--- a/crates/vanillakeel-entry/src/gateway/exchange.rs
+++ b/crates/vanillakeel-entry/src/gateway/exchange.rs
@@ -27,7 +27,8 @@
         PreparedResponse, //
     },
     retries,
-    shared::Shared, //
+    shared::Shared,
+    stop, //
 };
 use bytes::Bytes;
 use http::{
@@ -129,7 +130,7 @@
 ///
 /// # Errors
 ///
-/// Returns a refusal if no attempt succeeds or the deadline passes. It tells the caller whether an
+/// Returns a refusal if no attempt succeeds, the deadline passes or the process exits. It tells the caller whether an
 /// upstream may have run the request.
 pub(super) async fn forward(
     shared: &Rc<Shared>,
@@ -145,12 +146,17 @@
         ..Attempts::default()
     };
     let limit = Duration::from_millis(remaining_ms);
-    let result = timeout(limit, try_upstreams(shared, &request, &mut attempts)).await;
-    match result {
-        Ok(result) => result,
-        Err(_) if attempts.possible_runs > 0 => Err(Refusal::TimedOut),
-        Err(_) => Err(Refusal::TooLate),
-    }
+    let result = tokio::select! {
+        result = try_upstreams(shared, &request, &mut attempts) => Ok(result),
+        () = sleep(limit) => Err((Refusal::TooLate, Refusal::TimedOut)),
+        () = stop::until_exit(shared) => Err((Refusal::Stopping, Refusal::Stopped)),
+    };
+    result.unwrap_or_else(|(not_run, may_have_run)| {
+        Err(match attempts.possible_runs {
+            0 => not_run,
+            _ => may_have_run,
+        })
+    })
 }
 
 /// Makes attempts until one succeeds or no further one is allowed.
--- a/crates/vanillakeel-entry/src/gateway/request.rs
+++ b/crates/vanillakeel-entry/src/gateway/request.rs
@@ -13,6 +13,7 @@
     lines::Kind,
     retries,
     shared::Shared,
+    stop,
     streams::{
         self,
         Continued, //
@@ -42,7 +43,10 @@
     sync::Arc,
     time::Duration, //
 };
-use tokio::time::timeout;
+use tokio::{
+    task::spawn_local,
+    time::timeout, //
+};
 use vanillakeel::{
     Millis, division,
     fleet::PromptSegment,
@@ -296,12 +300,18 @@
     req: Request<Incoming>,
     routed: &mut Option<RoutedFacts>,
 ) -> Result<Response<ResponseBody>, Refusal> {
-    let (parts, body) = req.into_parts();
+    let (parts, mut body) = req.into_parts();
     let limits = shared.limits();
-    let body = read_body(body, limits.body_bytes, limits.idle_ms).await?;
-    if is_past_request_cutoff(shared) {
+    // A request that could not end before the process exits is refused, also within its body.
+    let read = tokio::select! {
+        biased;
+        () = stop::until_request_cutoff(shared) => None,
+        read = read_body(&mut body, limits.body_bytes, limits.idle_ms) => Some(read?),
+    };
+    let Some(body) = read else {
+        spawn_local(discard_body(body, limits.body_bytes, limits.idle_ms));
         return Err(Refusal::Stopping);
-    }
+    };
     // The body may have taken long to arrive, so the table in force now is used, not that of the
     // arrival.
     let table = shared
@@ -321,19 +331,12 @@
     ms.unwrap_or(u64::MAX)
 }
 
-/// Returns whether the instance has been stopping for so long that a new request could not end
-/// before the process exits.
-fn is_past_request_cutoff(shared: &Shared) -> bool {
-    let limit_ms = shared.settings.borrow().timing.last_request_ms;
-    let now = shared.clock.now();
-    shared
-        .stopping_since
-        .get()
-        .is_some_and(|since| now.since(since) >= limit_ms)
-}
-
 /// Reads the body within a size limit and a time limit.
-async fn read_body(body: Incoming, max_bytes: usize, timeout_ms: u64) -> Result<Bytes, Refusal> {
+async fn read_body(
+    body: &mut Incoming,
+    max_bytes: usize,
+    timeout_ms: u64,
+) -> Result<Bytes, Refusal> {
     let collected = Limited::new(body, max_bytes).collect();
     match timeout(Duration::from_millis(timeout_ms), collected).await {
         Err(_) => Err(Refusal::SlowBody),
@@ -343,6 +346,14 @@
     }
 }
 
+/// Reads the rest of the body of a request that has been refused: closing the connection under a caller that still
+/// writes could take the refusal from it.
+async fn discard_body(body: Incoming, max_bytes: usize, timeout_ms: u64) {
+    let mut body = Limited::new(body, max_bytes);
+    let discarded = async { while let Some(Ok(_)) = body.frame().await {} };
+    let _ = timeout(Duration::from_millis(timeout_ms), discarded).await;
+}
+
 /// Checks the headers and the key of a request and finds its route and service.
 fn route_request(
     shared: &Shared,
--- a/crates/vanillakeel-entry/src/gateway/shared.rs
+++ b/crates/vanillakeel-entry/src/gateway/shared.rs
@@ -185,6 +185,12 @@
     pub(super) newer_version: Notify,
     /// Time at which a stop was requested.
     pub(super) stopping_since: Cell<Option<Millis>>,
+    /// Wakes the requests whose bodies are being read when a stop is requested.
+    pub(super) stopping: Notify,
+    /// Whether the process exits in a moment, so that open requests get their last answers.
+    pub(super) is_exiting: Cell<bool>,
+    /// Wakes open requests when `is_exiting` is set.
+    pub(super) exiting: Notify,
     /// Whether connections of callers are closed after their current answer.
     pub(super) is_closing: Cell<bool>,
     /// Wakes the connections of callers when `is_closing` is set.
@@ -253,6 +259,9 @@
             removed_upstreams: RefCell::default(),
             newer_version: Notify::new(),
             stopping_since: Cell::new(None),
+            stopping: Notify::new(),
+            is_exiting: Cell::new(false),
+            exiting: Notify::new(),
             is_closing: Cell::new(false),
             closing: Notify::new(),
             fleet_changed: Notify::new(),
--- a/crates/vanillakeel-entry/src/gateway/stop.rs
+++ b/crates/vanillakeel-entry/src/gateway/stop.rs
@@ -1,7 +1,8 @@
 //! Handling of signals: a graceful stop and a reload of the settings.
 //!
 //! SIGTERM and SIGINT start the stop, SIGHUP reloads the settings. After a stop was requested,
-//! [`drain`] waits for the open requests.
+//! [`drain`] waits for the open requests. Those that are still open shortly before the process has to exit get
+//! their last answers, which say whether they may have run.
 
 use super::{
     settings::Settings,
@@ -28,6 +29,9 @@
 /// Time that is left for the process to exit before it would be killed, in ms.
 const EXIT_MARGIN_MS: u64 = 600;
 
+/// Time in which the last answers are written before the process exits, in ms.
+const LAST_ANSWERS_MS: u64 = 200;
+
 /// Time without an open request after which a stopping instance exits, in ms.
 const QUIET_MS: u64 = 700;
 
@@ -62,13 +66,15 @@
             }
         }
         shared.stopping_since.set(Some(shared.clock.now()));
+        shared.stopping.notify_waiters();
         tracing::info!(open = shared.open_requests.get(), "stopping");
     }
 }
 
 /// Keeps serving until the load balancer has noticed the stop and all requests have ended.
 ///
-/// It returns early when the time that the settings grant for a stop is almost over.
+/// It returns early when the time that the settings grant for a stop is almost over, after it has let open requests
+/// answer their callers.
 pub(super) async fn drain(shared: &Rc<Shared>) {
     let since = shared.stopping_since.get().unwrap_or_default();
     let timing = shared.settings.borrow().timing;
@@ -85,7 +91,36 @@
             0
         };
     }
-    tracing::info!(open = shared.open_requests.get(), "stopped");
+    let open = shared.open_requests.get();
+    if open > 0 {
+        shared.is_exiting.set(true);
+        shared.exiting.notify_waiters();
+        sleep(Duration::from_millis(LAST_ANSWERS_MS)).await;
+    }
+    tracing::info!(open, cut = shared.open_requests.get(), "stopped");
+}
+
+/// Waits until the instance has been stopping for so long that a new request could not end before the process
+/// exits.
+pub(super) async fn until_request_cutoff(shared: &Shared) {
+    let since = loop {
+        let stopping = shared.stopping.notified();
+        match shared.stopping_since.get() {
+            Some(since) => break since,
+            None => stopping.await,
+        }
+    };
+    let limit_ms = shared.settings.borrow().timing.last_request_ms;
+    let elapsed_ms = shared.clock.now().since(since);
+    sleep(Duration::from_millis(limit_ms.saturating_sub(elapsed_ms))).await;
+}
+
+/// Waits until open requests have to get their last answers.
+pub(super) async fn until_exit(shared: &Shared) {
+    let exiting = shared.exiting.notified();
+    if !shared.is_exiting.get() {
+        exiting.await;
+    }
 }
 
 /// Reads the settings again and puts them in force.
