--- a/crates/vanillakeel-entry/src/gateway.rs
+++ b/crates/vanillakeel-entry/src/gateway.rs
@@ -29,6 +29,7 @@
 mod flag;
 mod framing;
 mod guard;
+mod head_limit;
 mod header_names;
 mod headers;
 mod lines;
--- a/crates/vanillakeel-entry/src/gateway/client.rs
+++ b/crates/vanillakeel-entry/src/gateway/client.rs
@@ -3,6 +3,10 @@
 //! The gateway pools connections itself instead of using the pool of the HTTP library: a request
 //! that may run only once must not be sent on a connection that the other side is about to close.
 
+use super::head_limit::{
+    HeadBytes,
+    LimitedStream, //
+};
 use bytes::Bytes;
 use http::{
     Request,
@@ -73,6 +77,7 @@
     /// Whether the connection is reset instead of closed in order.
     resets: bool,
     end: Rc<Cell<Option<ConnectionEnd>>>,
+    head_bytes: HeadBytes,
 }
 
 impl Drop for HttpConnection {
@@ -98,6 +103,11 @@
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
         set_user_timeout(&stream, timeouts.unacknowledged)?;
+        let head_bytes = HeadBytes::default();
+        let stream = LimitedStream {
+            stream,
+            head_bytes: head_bytes.clone(),
+        };
         let (tx, mut connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
@@ -111,7 +121,7 @@
             let result = tokio::select! {
                 biased;
                 () = reset_wanted.notified() => {
-                    let stream = connection.into_parts().io.into_inner();
+                    let stream = connection.into_parts().io.into_inner().stream;
                     // Without the option the connection is closed in order.
                     let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
                     return;
@@ -132,6 +142,7 @@
             reset,
             resets: false,
             end,
+            head_bytes,
         })
     }
 
@@ -171,7 +182,10 @@
         &mut self,
         req: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
-        self.tx.try_send_request(req).await.map_err(|mut e| {
+        self.head_bytes.start();
+        let sent = self.tx.try_send_request(req).await;
+        self.head_bytes.stop();
+        sent.map_err(|mut e| {
             if e.take_message().is_some() {
                 SendError::NotSent
             } else {
