--- a/crates/vanillakeel-entry/src/gateway/crashes.rs
+++ b/crates/vanillakeel-entry/src/gateway/crashes.rs
@@ -144,17 +144,30 @@
 }
 
 /// Returns whether an upstream is listed as live but refuses a new connection.
-pub(super) async fn refuses_connection(shared: &Shared, pick: &Pick) -> bool {
+async fn refuses_connection(shared: &Shared, pick: &Pick) -> bool {
     let opened = open(shared, pick).await;
     let is_refused = |e: io::Error| e.kind() == io::ErrorKind::ConnectionRefused;
     opened.is_some_and(|opened| opened.is_err_and(is_refused)) && is_live(shared, pick)
 }
 
+/// Returns whether nothing listens at the address of an upstream any more, whether or not it was to leave.
+///
+/// The end of a process closes its connections in order, so that an answer which ends with its connection may have been cut.
+pub(super) async fn has_ended(shared: &Shared, pick: &Pick) -> bool {
+    let opened = open_any(shared, pick).await;
+    opened.is_some_and(|o| o.is_err_and(|e| e.kind() == io::ErrorKind::ConnectionRefused))
+}
+
 /// Opens a connection to an upstream that is listed as live; `None` if it is not, or not in time.
 async fn open(shared: &Shared, pick: &Pick) -> Option<io::Result<HttpConnection>> {
     if !is_live(shared, pick) {
         return None;
     }
+    open_any(shared, pick).await
+}
+
+/// Opens a connection to an upstream; `None` if not in time.
+async fn open_any(shared: &Shared, pick: &Pick) -> Option<io::Result<HttpConnection>> {
     let limit = Duration::from_millis(CRASH_CHECK_MS);
     let opening = HttpConnection::open(pick.address, shared.connection_timeouts());
     let opened = timeout(limit, opening).await.ok()?;
--- a/crates/vanillakeel-entry/src/gateway/relay.rs
+++ b/crates/vanillakeel-entry/src/gateway/relay.rs
@@ -6,8 +6,8 @@
 //! one.
 //!
 //! The end of the bytes is the end of the body only if something says so: the length, a last chunk, or
-//! an orderly end of the connection. A stream also has to end between two events and, if it ends with
-//! its connection, its upstream must not have crashed.
+//! an orderly end of the connection, if its upstream has not ended as well. A stream also has to end between two
+//! events.
 
 use super::{
     answer::BodyError,
@@ -78,14 +78,14 @@
 /// A running attempt to resume a broken stream.
 type ResumeFuture = LocalBoxFuture<'static, ResumeResult>;
 
-/// A running check whether the upstream of a call has crashed.
+/// A running check whether the upstream of a call has ended.
 type ConfirmFuture = LocalBoxFuture<'static, (Call, bool)>;
 
 /// State of a relayed body.
 enum RelayState {
     /// An upstream is sending the body.
     Receiving(Box<(Call, Incoming)>),
-    /// The stream has ended with its connection, and its upstream may have crashed.
+    /// The body has ended with its connection, and its upstream may have ended as well.
     Confirming(ConfirmFuture),
     /// Another upstream is being asked to continue the stream.
     Resuming(ResumeFuture),
@@ -190,8 +190,8 @@
                     Polled::Frame(ready!(Pin::new(&mut receiving.1).poll_frame(cx)))
                 }
                 RelayState::Confirming(confirm) => {
-                    let (call, has_crashed) = ready!(confirm.as_mut().poll(cx));
-                    Polled::Confirmed(Box::new(call), has_crashed)
+                    let (call, has_ended) = ready!(confirm.as_mut().poll(cx));
+                    Polled::Confirmed(Box::new(call), has_ended)
                 }
                 RelayState::Resuming(resume) => {
                     Polled::Resumed(Box::new(ready!(resume.as_mut().poll(cx))))
@@ -317,15 +317,15 @@
             self.on_upstream_failure(call, "continued without an event", None);
             return;
         }
-        if self.events.is_none() || call.framing != BodyFraming::Connection {
+        if call.framing != BodyFraming::Connection {
             self.complete(call);
             return;
         }
-        // The connection ends in the same way if the process ends between two events.
+        // The connection ends in the same way if the process ends.
         let shared = Rc::clone(&self.shared);
         self.state = RelayState::Confirming(Box::pin(async move {
-            let has_crashed = crashes::refuses_connection(&shared, &call.pick).await;
-            (call, has_crashed)
+            let has_ended = crashes::has_ended(&shared, &call.pick).await;
+            (call, has_ended)
         }));
     }
 
@@ -474,7 +474,7 @@
 /// Result of a poll of the upstream.
 enum Polled {
     Frame(Option<Result<Frame<Bytes>, hyper::Error>>),
-    /// The call, and whether its upstream has crashed.
+    /// The call, and whether its upstream has ended.
     Confirmed(Box<Call>, bool),
     Resumed(Box<ResumeResult>),
 }
--- a/crates/vanillakeel-entry/src/gateway/response.rs
+++ b/crates/vanillakeel-entry/src/gateway/response.rs
@@ -71,6 +71,7 @@
     let is_success = head.status.is_success();
     let is_stream_route = request.route.kind.is_stream();
     let has_events = is_success && framing::has_events(&head.headers, is_stream_route);
+    let ends_with_connection = call.framing == BodyFraming::Connection && !body.is_end_stream();
     let buffered = if is_success && is_stream_route {
         BufferedBody::Partial(Bytes::new(), body)
     } else {
@@ -87,6 +88,12 @@
             call.finish(CallOutcome::Failed);
             Err(SendFailure::Broken("answer ended within an event"))
         }
+        BufferedBody::Complete(_)
+            if ends_with_connection && crashes::has_ended(shared, &call.pick).await =>
+        {
+            call.finish(CallOutcome::Failed);
+            Err(SendFailure::Broken("answer ended with its upstream"))
+        }
         BufferedBody::Complete(bytes) => Ok(finish(shared, request, call, head, bytes)),
         BufferedBody::Partial(start, rest) => {
             let attempts = std::mem::take(attempts);
