--- a/crates/vanillakeel/src/quarantine.rs
+++ b/crates/vanillakeel/src/quarantine.rs
@@ -31,6 +31,7 @@
 
 mod crash;
 mod evidence;
+mod judgement;
 mod settings;
 mod sound;
 mod state;
--- a/crates/vanillakeel/src/quarantine/state.rs
+++ b/crates/vanillakeel/src/quarantine/state.rs
@@ -1,10 +1,7 @@
 //! Which subjects are blamed, and why.
 
 use super::{
-    crash::{
-        Crash,
-        CrashSeries, //
-    },
+    crash::Crash,
     evidence::{
         BlamedSubject,
         CrashReport,
@@ -17,9 +14,6 @@
 };
 use crate::Millis;
 
-/// Fewest times at which upstreams have crashed before a subject is blamed.
-const MIN_MOMENTS: u32 = 2;
-
 /// Time by which each further instance lets a request through later, in ms, if the one before it gets none.
 const TRIAL_STEP_MS: u64 = 5_000;
 
@@ -40,17 +34,17 @@
 
 /// A subject that is refused.
 #[derive(Clone, Copy, Debug)]
-struct Blamed {
-    subject: Subject,
-    since: Millis,
-    last_asked: Millis,
-    /// Whether all its crashes were at the same time, as of a rack, so that a request has to show whether the
-    /// verdict is right.
-    is_provisional: bool,
+pub(super) struct Blamed {
+    pub(super) subject: Subject,
+    pub(super) since: Millis,
+    pub(super) last_asked: Millis,
+    /// Whether all its crashes were at the same time, as of a rack, or another subject explains them as well, so that a
+    /// request has to show whether the verdict is right.
+    pub(super) is_provisional: bool,
     /// Time at which the last request was let through.
-    tried: Option<Millis>,
+    pub(super) tried: Option<Millis>,
     /// Crashes by requests that were let through after `since`, each of which began a longer hold.
-    renewals: u32,
+    pub(super) renewals: u32,
 }
 
 impl Blamed {
@@ -108,12 +102,12 @@
 /// The subjects that crash upstreams, as far as an instance knows.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
-    settings: Settings,
-    crashes: Vec<Crash>,
+    pub(super) settings: Settings,
+    pub(super) crashes: Vec<Crash>,
     /// Subjects with so many crashes that a further one may blame them, sorted.
-    watched: Vec<Subject>,
-    answered: LastSuccesses,
-    blamed: Vec<Blamed>,
+    pub(super) watched: Vec<Subject>,
+    pub(super) answered: LastSuccesses,
+    pub(super) blamed: Vec<Blamed>,
     /// Subjects that another instance refuses although they have been answered since, with the times at
     /// which it said so last.
     disputed: Vec<(Subject, Millis)>,
@@ -165,8 +159,15 @@
         let asked = self.blamed.iter_mut().filter(is_asked);
         let blamed = asked.min_by_key(|b| b.is_provisional)?;
         blamed.last_asked = blamed.last_asked.max(now);
+        let blamed = *blamed;
         let held_ms = now.since(blamed.since);
-        let is_on_trial = blamed.is_provisional || held_ms >= blamed.trial_after_ms(&self.settings);
+        // A request that also holds what may have caused the crashes as well would show nothing.
+        let may_show = || {
+            let rivals = self.rivals(now, blamed.subject);
+            !subjects.iter().any(|s| rivals.contains(s))
+        };
+        let is_due = blamed.is_provisional || held_ms >= blamed.trial_after_ms(&self.settings);
+        let is_on_trial = is_due && may_show();
         let retry_after_ms = if is_on_trial {
             self.settings.trial_ms
         } else {
@@ -257,11 +258,18 @@
         self.answered.record(at, subject, max_subjects);
         let is_disproved = |b: &Blamed| b.subject == subject && at > b.since;
         if !self.blamed.iter().any(is_disproved) {
+            // What a success has cleared makes other verdicts final.
+            if self.blamed.iter().any(|b| b.is_provisional) {
+                self.confirm(at);
+            }
             return Vec::new();
         }
         let lifted: Vec<_> = self.blamed.iter().copied().filter(is_disproved).collect();
         self.dispute(at, subject);
-        self.lift(&lifted, true)
+        let mut changes = self.lift(&lifted, true);
+        // Another subject explains what this one does not.
+        changes.extend(self.judge(at, true));
+        changes
     }
 
     /// Records the crash of the process `id`, under which requests with these subjects ran that had not been
@@ -392,7 +400,7 @@
         }
     }
 
-    fn may_blame(&self, subject: Subject) -> bool {
+    pub(super) fn may_blame(&self, subject: Subject) -> bool {
         let is_exempt = self.settings.exempt.binary_search(&subject).is_ok();
         !is_exempt && self.blamed.len() < MAX_BLAMED
     }
@@ -424,184 +432,4 @@
         }
         crash.suspects.len() > known
     }
-
-    /// Finds the subjects that a further crash may blame.
-    fn watch(&mut self) {
-        let needed = self.settings.crashes.min(MIN_MOMENTS) as usize;
-        let mut suspects: Vec<Subject> = self
-            .crashes
-            .iter()
-            .flat_map(|c| &c.suspects)
-            .copied()
-            .collect();
-        suspects.sort_unstable();
-        let runs = suspects.chunk_by(|a, b| a == b);
-        self.watched = runs
-            .filter(|run| run.len() >= needed)
-            .map(|run| run[0])
-            .collect();
-    }
-
-    /// Ends verdicts that are over; if a crash is new, blames subjects until the crashes that are left are
-    /// not evidence enough.
-    fn judge(&mut self, now: Millis, is_new: bool) -> Vec<Change> {
-        let (ttl_ms, hold_ms) = (self.settings.crash_ttl_ms, self.settings.hold_ms);
-        let is_over = |b: &Blamed| now.since(b.last_asked) >= hold_ms;
-        let over: Vec<_> = self.blamed.iter().copied().filter(is_over).collect();
-        let mut changes = self.lift(&over, false);
-        if !is_new {
-            return changes;
-        }
-        self.crashes.retain(|c| now.since(c.at) < ttl_ms);
-        self.watch();
-        self.confirm();
-        while let Some((subject, series)) = self.next_to_blame() {
-            let is_provisional = series.moments < MIN_MOMENTS;
-            self.blamed.push(Blamed {
-                subject,
-                since: now,
-                last_asked: now,
-                is_provisional,
-                tried: None,
-                renewals: 0,
-            });
-            changes.push(Change::Blamed {
-                subject,
-                crashes: series.crashes,
-                first_ms: now.since(series.first),
-                answered_ms: self.answered.of(subject).map(|at| now.since(at)),
-                is_provisional,
-            });
-        }
-        changes
-    }
-
-    /// Makes provisional verdicts final whose subjects have crashed upstreams at another time as well, and renews
-    /// final ones whose subjects have crashed an upstream again.
-    fn confirm(&mut self) {
-        let crashes: Vec<&Crash> = self.crashes.iter().collect();
-        let spacing_ms = self.settings.crash_spacing_ms;
-        let last_later = |b: &Blamed| {
-            let is_later = |c: &&&Crash| c.has(b.subject) && c.at.since(b.since) >= spacing_ms;
-            crashes.iter().filter(is_later).map(|c| c.at).max()
-        };
-        let has_moments = |b: &Blamed| {
-            let series = self.series(&crashes, b.subject);
-            series.is_some_and(|s| s.moments >= MIN_MOMENTS)
-        };
-        let confirmed: Vec<_> = self
-            .blamed
-            .iter()
-            .map(|b| (has_moments(b), last_later(b)))
-            .collect();
-        for (blamed, (has_moments, last_later)) in self.blamed.iter_mut().zip(confirmed) {
-            if let Some(at) = last_later {
-                blamed.renewals += u32::from(!blamed.is_provisional);
-                blamed.since = at;
-            }
-            blamed.is_provisional &= !has_moments && last_later.is_none();
-        }
-    }
-
-    /// Returns the subject with the longest series of crashes, if it is long enough to blame it.
-    ///
-    /// While several have the same series, further crashes have to decide between them, but not for ever. If
-    /// one of them is a request as a whole, and the others are segments that it holds, it explains as much.
-    fn next_to_blame(&self) -> Option<(Subject, CrashSeries)> {
-        let is_request = |s: &Subject| matches!(s, Subject::Request(_));
-        let for_segments = self.unexplained(true);
-        let for_requests = self.unexplained(false);
-        let candidates: Vec<_> = self
-            .watched
-            .iter()
-            .copied()
-            .filter(|subject| self.may_blame(*subject))
-            .filter_map(|subject| {
-                let crashes = if is_request(&subject) {
-                    &for_requests
-                } else {
-                    &for_segments
-                };
-                let series = self.series(crashes, subject)?;
-                self.suffices(subject, series).then_some((subject, series))
-            })
-            .collect();
-        let longest = candidates.iter().map(|(_, s)| s.length()).max()?;
-        let longest: Vec<_> = candidates
-            .into_iter()
-            .filter(|(_, s)| s.length() == longest)
-            .collect();
-        let requests = longest.iter().filter(|(s, _)| is_request(s)).count();
-        // Requests are last in the order of subjects.
-        let (subject, series) = *longest.last()?;
-        let is_decided = longest.len() == 1
-            || requests == 1
-            || series.moments >= self.settings.crashes_of_answered;
-        is_decided.then_some((subject, series))
-    }
-
-    /// Returns the crashes that nothing blamed so far explains, for the judgement of segments or of requests.
-    ///
-    /// A request that is blamed may have crashed upstreams for a segment that it holds, so one of its crashes
-    /// still counts for segments.
-    fn unexplained(&self, is_for_segments: bool) -> Vec<&Crash> {
-        let mut counted: Vec<Subject> = Vec::new();
-        let is_unexplained = |crash: &&Crash| {
-            let mut blamed = self.blamed.iter().map(|b| b.subject);
-            let Some(cause) = blamed.find(|cause| crash.has(*cause)) else {
-                return true;
-            };
-            let may_count = is_for_segments && matches!(cause, Subject::Request(_));
-            if !may_count || counted.contains(&cause) {
-                return false;
-            }
-            counted.push(cause);
-            true
-        };
-        self.crashes.iter().filter(is_unexplained).collect()
-    }
-
-    /// Returns whether a series of crashes is long enough to blame a subject.
-    fn suffices(&self, subject: Subject, series: CrashSeries) -> bool {
-        let cfg = &self.settings;
-        match subject {
-            // Several requests with the segment may crash as many upstreams at the same time.
-            Subject::Segment(_) => {
-                let needed = match self.answered.of(subject) {
-                    None => cfg.crashes,
-                    Some(_) => cfg.crashes_of_answered,
-                };
-                let has_many =
-                    series.moments >= MIN_MOMENTS && series.crashes >= cfg.crashes_of_answered;
-                series.moments >= needed || has_many
-            }
-            // The same request seldom runs by chance wherever upstreams crash, and only its callers miss it.
-            Subject::Request(_) => series.crashes >= cfg.crashes,
-        }
-    }
-
-    /// Returns the crashes since the last success with a subject.
-    fn series(&self, crashes: &[&Crash], subject: Subject) -> Option<CrashSeries> {
-        let answered = self.answered.of(subject);
-        CrashSeries::of(crashes, subject, answered, self.settings.crash_spacing_ms)
-    }
-
-    fn lift(&mut self, lifted: &[Blamed], is_answered: bool) -> Vec<Change> {
-        if lifted.is_empty() {
-            return Vec::new();
-        }
-        let changes = lifted.iter().map(|b| Change::Lifted {
-            subject: b.subject,
-            is_answered,
-        });
-        let changes = changes.collect();
-        self.blamed
-            .retain(|b| lifted.iter().all(|l| l.subject != b.subject));
-        // What they had explained is no evidence any more.
-        for blamed in lifted {
-            self.crashes.retain(|c| !c.has(blamed.subject));
-        }
-        self.watch();
-        changes
-    }
 }
