--- a/crates/vanillakeel-entry/src/gateway/crashes.rs
+++ b/crates/vanillakeel-entry/src/gateway/crashes.rs
@@ -120,54 +120,48 @@
     check
 }
 
-/// Returns whether an upstream refuses connections, or closes each one that it accepts.
+/// Returns whether an upstream that is listed as live refuses connections, or closes each one that it accepts.
+async fn refuses_connections(shared: &Shared, pick: &Pick) -> bool {
+    is_gone(shared, pick, is_live).await
+}
+
+/// Returns whether the process of an upstream has ended, whether or not it was to leave.
+///
+/// Its end closes its connections in order, so that an answer which ends with its connection may have been cut.
+pub(super) async fn has_ended(shared: &Shared, pick: &Pick) -> bool {
+    is_gone(shared, pick, |_, _| true).await
+}
+
+/// Returns whether nothing answers at the address of an upstream any more, while it is one that `counts`.
 ///
-/// A process that is ending may still have had a queue for new connections, and a forwarder in front of a dead one
+/// A process that is ending may still have a queue for new connections, and a forwarder in front of a dead one
 /// accepts them and closes each at once. A process with too many connections resets them instead.
-async fn refuses_connections(shared: &Shared, pick: &Pick) -> bool {
+async fn is_gone(shared: &Shared, pick: &Pick, counts: fn(&Shared, &Pick) -> bool) -> bool {
+    let is_refused = |e: io::Error| e.kind() == io::ErrorKind::ConnectionRefused;
     for _ in 0..MAX_CLOSED {
+        if !counts(shared, pick) {
+            return false;
+        }
         let connection = match open(shared, pick).await {
             Some(Ok(connection)) => connection,
-            Some(Err(e)) => {
-                return e.kind() == io::ErrorKind::ConnectionRefused && is_live(shared, pick);
-            }
+            Some(Err(e)) => return is_refused(e) && counts(shared, pick),
             None => return false,
         };
         sleep(Duration::from_millis(ENDING_MS)).await;
         match connection.end() {
             Some(ConnectionEnd::Closed) => {}
-            Some(ConnectionEnd::Failed) => return refuses_connection(shared, pick).await,
+            Some(ConnectionEnd::Failed) => {
+                let opened = open(shared, pick).await;
+                return opened.is_some_and(|o| o.is_err_and(is_refused)) && counts(shared, pick);
+            }
             None => return false,
         }
     }
-    is_live(shared, pick)
-}
-
-/// Returns whether an upstream is listed as live but refuses a new connection.
-async fn refuses_connection(shared: &Shared, pick: &Pick) -> bool {
-    let opened = open(shared, pick).await;
-    let is_refused = |e: io::Error| e.kind() == io::ErrorKind::ConnectionRefused;
-    opened.is_some_and(|opened| opened.is_err_and(is_refused)) && is_live(shared, pick)
-}
-
-/// Returns whether nothing listens at the address of an upstream any more, whether or not it was to leave.
-///
-/// The end of a process closes its connections in order, so that an answer which ends with its connection may have been cut.
-pub(super) async fn has_ended(shared: &Shared, pick: &Pick) -> bool {
-    let opened = open_any(shared, pick).await;
-    opened.is_some_and(|o| o.is_err_and(|e| e.kind() == io::ErrorKind::ConnectionRefused))
-}
-
-/// Opens a connection to an upstream that is listed as live; `None` if it is not, or not in time.
-async fn open(shared: &Shared, pick: &Pick) -> Option<io::Result<HttpConnection>> {
-    if !is_live(shared, pick) {
-        return None;
-    }
-    open_any(shared, pick).await
+    counts(shared, pick)
 }
 
 /// Opens a connection to an upstream; `None` if not in time.
-async fn open_any(shared: &Shared, pick: &Pick) -> Option<io::Result<HttpConnection>> {
+async fn open(shared: &Shared, pick: &Pick) -> Option<io::Result<HttpConnection>> {
     let limit = Duration::from_millis(CRASH_CHECK_MS);
     let opening = HttpConnection::open(pick.address, shared.connection_timeouts());
     let opened = timeout(limit, opening).await.ok()?;
