--- a/crates/vanillakeel-entry/src/gateway/exchange.rs
+++ b/crates/vanillakeel-entry/src/gateway/exchange.rs
@@ -146,7 +146,9 @@
         ..Attempts::default()
     };
     let limit = Duration::from_millis(remaining_ms);
+    // An answer that is ready goes before the end of the time.
     let result = tokio::select! {
+        biased;
         result = try_upstreams(shared, &request, &mut attempts) => Ok(result),
         () = sleep(limit) => Err((Refusal::TooLate, Refusal::TimedOut)),
         () = stop::until_exit(shared) => Err((Refusal::Stopping, Refusal::Stopped)),
