--- a/review/standins-2/src/http.rs
+++ b/review/standins-2/src/http.rs
@@ -2,7 +2,8 @@
 
 use std::{
     io::{self, BufRead, BufReader, Read, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{SocketAddr, TcpListener, TcpStream, UdpSocket},
+    sync::atomic::{AtomicU32, Ordering},
     thread,
     time::{Duration, Instant},
 };
@@ -94,10 +95,24 @@
     address
 }
 
-/// Returns a loopback address that was free a moment ago.
+/// Ports below those that the kernel gives to outgoing connections, so that a process finds its port free at a restart.
+const PORTS: std::ops::Range<u16> = 12_000..30_000;
+
+/// Number of ports that were tried.
+static TRIED: AtomicU32 = AtomicU32::new(0);
+
+/// Returns a loopback address that is free and was not returned before.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
+    let count = u32::from(PORTS.end - PORTS.start);
+    loop {
+        let tried = TRIED.fetch_add(1, Ordering::Relaxed);
+        assert!(tried < count, "no free port");
+        let at = (std::process::id().wrapping_mul(101) + tried) % count;
+        let address = SocketAddr::from(([127, 0, 0, 1], PORTS.start + at as u16));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 /// What a client has got for one request.
