Review: two instances that stop a second apart forget all streams

An instance that stops deletes its address and answers no reports, so that a new process that starts meanwhile does not learn the versions of streams from it, and the instance that it handed over to has ended.

The case stops and starts two instances in turn, a second apart.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -7,4 +7,4 @@
     echo "build the deploy file's program and run review/build-2.sh first"
     exit 2
 fi
-exec "$program" killed_together "$folder"
+exec "$program" stopped_in_turn "$folder"
--- a/review/standins-2/src/cases/mod.rs
+++ b/review/standins-2/src/cases/mod.rs
@@ -2,9 +2,9 @@
 
 mod early_answers;
 mod false_promises;
-mod killed_together;
 mod last_tenant;
 mod split_streams;
+mod stopped_in_turn;
 
 use crate::{
     Context,
@@ -27,7 +27,7 @@
         "early_answers" => early_answers::run,
         "false_promises" => false_promises::run,
         "last_tenant" => last_tenant::run,
-        "killed_together" => killed_together::run,
+        "stopped_in_turn" => stopped_in_turn::run,
         "split_streams" => split_streams::run,
         _ => panic!("no case {name}"),
     }
--- a/review/standins-2/src/cases/killed_together.rs
+++ b/review/standins-2/src/cases/stopped_in_turn.rs
@@ -1,4 +1,4 @@
-//! All machines are killed at once: no stream that their clients take up again goes on.
+//! All machines are stopped and started in turn: no stream that their clients take up again goes on.
 
 use super::{IN_TOUCH, Sent, Verdict, all_at_once, configuration, service, streaming};
 use crate::{Context, runner::Runner, store::Store, system::Machine};
@@ -10,6 +10,9 @@
 const STREAMS: usize = 24;
 const TIMEOUT_MS: u64 = 15_000;
 
+/// Time between the stops of the two machines.
+const GAP: Duration = Duration::from_secs(1);
+
 pub fn run(cx: &Context) -> Verdict {
     let store = Store::start();
     let route = r#"{"name":"r-check","host":"desk.example","path_prefix":"/check/","kind":"streaming","timeout_ms":15000,"target_latency_ms":600,"priority":1,"service":"fleet","max_attempts":2,"public":false,"sticky":true,"can_resume":true,"gap_aim_ms":800}"#;
@@ -20,7 +23,7 @@
     );
     let _runners: Vec<Runner> = (1..=3)
         .map(|n| {
-            let behaviour = streaming(40, Duration::from_millis(250));
+            let behaviour = streaming(60, Duration::from_millis(240));
             Runner::start(
                 &store,
                 "fleet",
@@ -57,20 +60,25 @@
         let answer = sent.send(cx, fronts[n % 2], |a| a.event_ids().len() >= events);
         (id, answer.event_ids())
     };
-    // Without the disruption the connections break at their clients, with it all machines are killed.
-    let leave_after = if cx.has_trouble { usize::MAX } else { 6 };
+    // Without the disruption the connections end at their clients.
+    let leave_after = if cx.has_trouble { usize::MAX } else { 32 };
     let first = thread::scope(|scope| {
         let streams = scope.spawn(|| all_at_once(STREAMS, |n| begin("aa", n, leave_after)));
-        thread::sleep(Duration::from_millis(1_700));
         if cx.has_trouble {
-            machines.iter_mut().for_each(Machine::kill);
-            thread::sleep(Duration::from_millis(300));
-            machines.iter_mut().for_each(Machine::restart);
+            thread::sleep(Duration::from_millis(500));
+            machines[0].signal("TERM");
+            thread::sleep(GAP);
+            machines[1].signal("TERM");
+            for machine in &mut machines {
+                machine.wait_end();
+                thread::sleep(Duration::from_millis(200));
+                machine.restart();
+            }
         }
         streams.join().expect("a thread")
     });
     machines.iter().for_each(Machine::wait_ready);
-    // All machines have run for longer than `stable_window_ms` when clients come back.
+    // Both machines have run for longer than `stable_window_ms` when clients come back.
     thread::sleep(IN_TOUCH);
     let begun: Vec<_> = first
         .iter()
--- a/review/standins-2/src/system.rs
+++ b/review/standins-2/src/system.rs
@@ -21,6 +21,10 @@
 /// Processes that run.
 static CHILDREN: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
+fn forget(child: u32) {
+    CHILDREN.lock().expect("a lock").retain(|id| *id != child);
+}
+
 /// Ends the whole case with status 2 if it is not over by then.
 pub fn end_after(limit: Duration) {
     thread::spawn(move || {
@@ -107,10 +111,7 @@
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
             let _ = child.wait();
-            CHILDREN
-                .lock()
-                .expect("a lock")
-                .retain(|id| *id != child.id());
+            forget(child.id());
             self.record.line(&format!("{} killed", self.name));
         }
     }
@@ -124,6 +125,23 @@
         }
     }
 
+    /// Waits until the process has ended by itself.
+    pub fn wait_end(&mut self) {
+        let start = Instant::now();
+        while self.is_running() {
+            assert!(
+                start.elapsed() < Duration::from_secs(10),
+                "{} does not end",
+                self.name
+            );
+            thread::sleep(Duration::from_millis(20));
+        }
+        self.record.line(&format!("{} has ended", self.name));
+        if let Some(child) = self.child.take() {
+            forget(child.id());
+        }
+    }
+
     /// Returns whether the process still runs.
     pub fn is_running(&mut self) -> bool {
         self.child
