fix(gateway): promise "not run" only if the upstream states it

Cause: an answer with status 408, 429 or 503 but without the header that states that the request has not run was passed on like any other. The instance itself goes by the header and by 421 only; callers go by the status. Ruled out: refusals of the instance after a send, which follow the sends that may have run.

Such an answer to a request that must not be repeated is now a failure that promises nothing: 502, without the upstream's seal. Requests that may be repeated get the upstream's answer as before.

--- a/crates/vanillakeel-entry/src/gateway/answer_head.rs
+++ b/crates/vanillakeel-entry/src/gateway/answer_head.rs
@@ -35,7 +35,8 @@
 /// Returns [`SendFailure::Refused`] if the upstream states, by status 421 or the header for it,
 /// that it has not run the request, or [`SendFailure::Withdrawn`] if it adds that it takes no more for now. Returns [`SendFailure::Broken`] if the response does not echo
 /// the request id, has an encoded body, or is a success without the seal by which an upstream marks
-/// a response as its own.
+/// a response as its own. Returns [`SendFailure::UnmarkedRefusal`] if a request that must not be repeated gets
+/// a status that promises its caller that it has not run, while the upstream does not state that.
 pub(super) fn check(
     shared: &Shared,
     request: &RoutedRequest,
@@ -81,9 +82,24 @@
         call.finish(CallOutcome::Failed);
         return Err(SendFailure::Broken("answer without its seal"));
     }
+    if promises_not_run(response.status()) && !request.route.kind.is_idempotent() {
+        call.finish(CallOutcome::Failed);
+        return Err(SendFailure::UnmarkedRefusal);
+    }
     Ok((call, response))
 }
 
+/// Returns whether a caller takes a status for the promise that its request has not run and never will.
+const fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Returns how long a connection may stay idle after this response and still be reused, in ms.
 ///
 /// This is the keep-alive time that the upstream announces, or the default, minus a margin: the
--- a/crates/vanillakeel-entry/src/gateway/exchange.rs
+++ b/crates/vanillakeel-entry/src/gateway/exchange.rs
@@ -105,6 +105,8 @@
     Withdrawn,
     /// the upstream has said to another request that it takes no more for now, nothing was sent
     WithdrawnBefore,
+    /// the upstream refused the request without stating that it has not run it
+    UnmarkedRefusal,
     /// {0}; the upstream may have run the request
     Broken(&'static str),
 }
@@ -303,7 +305,9 @@
             attempts.withdrawals += 1;
             allows_retry && retries::take(shared, request)
         }
-        SendFailure::Broken(_) => allows_retry && retries::take(shared, request),
+        SendFailure::UnmarkedRefusal | SendFailure::Broken(_) => {
+            allows_retry && retries::take(shared, request)
+        }
     }
 }
 
