fix(gateway): streams outlast stops that overlap

Cause: an instance that stops handed over to its peers, also to those that were about to end, and deleted its address, so that the next process could not ask the last one that still lived.

An instance that stops without a peer that stays now saves the streams on the log, beside the addresses that each instance reads at its start. Among nine instances or fewer all peers are told of a stop, twice. Asking the process that still lives would not help with a gap of 0.2 s, where the next process starts after the last one ended.

Not mended: usage counts are lost if all instances stop in turn; the table in docs/design/membership.md says what else becomes of what an instance knows.

--- a/crates/vanillakeel-entry/src/gateway.rs
+++ b/crates/vanillakeel-entry/src/gateway.rs
@@ -64,6 +64,7 @@
 mod response;
 mod retries;
 mod run;
+mod saved_streams;
 mod settings;
 mod shared;
 mod sockets;
--- a/crates/vanillakeel-entry/src/gateway/metrics.rs
+++ b/crates/vanillakeel-entry/src/gateway/metrics.rs
@@ -108,6 +108,8 @@
     pub(super) own_rate: Gauge<f64, AtomicU64>,
     pub(super) covered: Gauge,
     pub(super) known_streams: Gauge,
+    pub(super) saved_streams: Counter,
+    pub(super) restored_streams: Counter,
     pub(super) over_share: Counter,
     pub(super) duties: DutyMetrics,
     pub(super) usage: UsageMetrics,
@@ -156,6 +158,8 @@
             own_rate: Gauge::default(),
             covered: Gauge::default(),
             known_streams: Gauge::default(),
+            saved_streams: Counter::default(),
+            restored_streams: Counter::default(),
             over_share: Counter::default(),
             duties: DutyMetrics::default(),
             usage: UsageMetrics::default(),
@@ -336,6 +340,16 @@
             "Streams whose software version this instance knows",
             self.known_streams.clone(),
         );
+        registry.register(
+            "saved_streams",
+            "Streams that this instance has kept on the log while it was stopping",
+            self.saved_streams.clone(),
+        );
+        registry.register(
+            "restored_streams",
+            "Streams that this instance has found on the log at its start",
+            self.restored_streams.clone(),
+        );
         registry.register(
             "callers_held_bytes",
             "Bytes held of requests, and of answers that callers have not read",
--- a/crates/vanillakeel-entry/src/gateway/passed_streams.rs
+++ b/crates/vanillakeel-entry/src/gateway/passed_streams.rs
@@ -68,7 +68,13 @@
             wire.wants_all = wants_all;
         }
     }
-    for passed in &told.streams {
+    add_streams(&mut wire, &told.streams);
+    wire
+}
+
+/// Adds streams to the lists of a message.
+pub(super) fn add_streams(wire: &mut MeshPassedStreams, streams: &[PassedStream]) {
+    for passed in streams {
         let known = wire.versions.iter().position(|v| **v == *passed.software);
         let at = known.unwrap_or_else(|| {
             wire.versions.push(passed.software.to_string());
@@ -79,11 +85,11 @@
         let age = u32::try_from(passed.age_ms / AGE_UNIT_MS);
         wire.ages.push(age.unwrap_or(u32::MAX));
     }
-    wire
 }
 
-/// Decodes a message; a stream without its version is left out, and lists of unequal length are cut to the shortest one.
-fn from_wire(wire: &MeshPassedStreams) -> Told {
+/// Decodes the lists of a message; a stream without its version is left out, and lists of unequal length are cut to the
+/// shortest one.
+pub(super) fn streams_of(wire: &MeshPassedStreams) -> Vec<PassedStream> {
     let details = wire.version_at.iter().zip(&wire.ages);
     let passed = wire.streams.iter().zip(details);
     let streams = passed.filter_map(|(stream, (at, age))| {
@@ -94,6 +100,10 @@
             age_ms: u64::from(*age) * AGE_UNIT_MS,
         })
     });
+    streams.collect()
+}
+
+fn from_wire(wire: &MeshPassedStreams) -> Told {
     let known = match wire.missed_age {
         None => Known::UpTo {
             log: wire.known_log,
@@ -110,7 +120,7 @@
         next: wire.next,
         is_start: wire.start,
         is_relayed: wire.relayed,
-        streams: streams.collect(),
+        streams: streams_of(wire),
         known,
     }
 }
--- a/crates/vanillakeel-entry/src/gateway/peers.rs
+++ b/crates/vanillakeel-entry/src/gateway/peers.rs
@@ -25,6 +25,7 @@
     },
     passed_streams,
     rate_limits,
+    saved_streams,
     shared::Shared,
     speeds,
     streams,
@@ -113,6 +114,7 @@
     write_address(shared, log, &entry).await;
     let mut after = None;
     let mut verdicts = Vec::new();
+    let mut expired = Vec::new();
     loop {
         let asked_at = shared.clock.now();
         match (log.read_newest)(Topic::Peers, after.clone(), ReadProgress::default()).await {
@@ -126,6 +128,7 @@
                     datagrams::send(shared, socket, &peer, None).await;
                 }
                 verdicts.extend(verdicts::restore(shared, &page.entries));
+                expired.extend(saved_streams::restore(shared, &page.entries));
                 after = page.continue_after;
                 if after.is_none() {
                     break;
@@ -147,6 +150,7 @@
     tokio::join!(
         rewrite_address(shared, log, &entry, written_in),
         verdicts::store(shared, log, verdicts),
+        saved_streams::delete(shared, log, expired),
     );
 }
 
@@ -171,21 +175,32 @@
     while !log_writes::write(shared, log, entry.clone(), what, ASK_DELAY_MS).await {}
 }
 
-/// Announces to the hubs that this instance is stopping, tells the keepers of streams what it knows, and
-/// deletes its address from the log.
+/// Announces that this instance is stopping, tells the keepers of streams what it knows, and deletes its address from
+/// the log; then saves the streams that no other instance keeps, for as long as the process runs.
 pub(super) async fn leave(shared: &Shared, log: &LogAdapter, socket: &UdpSocket) {
-    streams::hand_over(shared);
-    usage_exchange::hand_over(shared, shared.clock.now());
-    let hubs = {
-        let mesh = shared.mesh.borrow();
-        let now = shared.clock.now();
-        let mut hubs = mesh.other_hubs(now);
-        hubs.extend(mesh.hub(now).cloned());
-        hubs
-    };
-    for peer in hubs {
-        datagrams::send(shared, socket, &peer, Kind::Leaving(true)).await;
+    let now = shared.clock.now();
+    let has_successor = saved_streams::has_successor(shared, now);
+    streams::hand_over(shared, has_successor);
+    usage_exchange::hand_over(shared, now);
+    let told = shared.mesh.borrow().told_of_stop(now);
+    announce_stop(shared, socket, &told).await;
+    tokio::join!(
+        async {
+            delete_address(shared, log).await;
+            // The first announcement may be lost.
+            announce_stop(shared, socket, &told).await;
+        },
+        saved_streams::save(shared, log, has_successor),
+    );
+}
+
+async fn announce_stop(shared: &Shared, socket: &UdpSocket, told: &[Peer]) {
+    for peer in told {
+        datagrams::send(shared, socket, peer, Kind::Leaving(true)).await;
     }
+}
+
+async fn delete_address(shared: &Shared, log: &LogAdapter) {
     let key = shared.mesh.borrow().me().name.to_string();
     let entry = Entry { key, value: None };
     if let Err(e) = (log.write)(Topic::Peers, entry).await {
@@ -364,6 +379,7 @@
     match &message.kind {
         Some(Kind::Leaving(_)) => {
             shared.mesh.borrow_mut().on_left(name);
+            shared.spread.borrow_mut().on_left(name);
             shared.usage.borrow_mut().on_left(name);
             return;
         }
@@ -378,7 +394,9 @@
         }
         _ => {}
     }
-    shared.mesh.borrow_mut().on_peer(&peer);
+    if shared.mesh.borrow_mut().on_peer(&peer) {
+        shared.peer_joined_at.set(Some(now));
+    }
     hear(shared, name);
     match message.kind {
         Some(Kind::Report(report)) => {
--- a/crates/vanillakeel-entry/src/gateway/shared.rs
+++ b/crates/vanillakeel-entry/src/gateway/shared.rs
@@ -150,6 +150,8 @@
     pub(super) begun_streams: RefCell<BegunStreams>,
     /// What peers are told of these streams.
     pub(super) spread: RefCell<Spread>,
+    /// Time at which this instance has heard of a peer for the first time, the last one that has joined.
+    pub(super) peer_joined_at: Cell<Option<Millis>>,
     /// Software versions that have served lately.
     pub(super) served_versions: RefCell<ServedVersions>,
     /// Wakes the task that reads the upstreams.
@@ -264,6 +266,7 @@
             mesh_socket: RefCell::default(),
             begun_streams: RefCell::new(BegunStreams::new(streams::Settings::default())),
             spread: RefCell::new(Spread::new(log)),
+            peer_joined_at: Cell::new(None),
             served_versions: RefCell::default(),
             read_upstreams: Notify::new(),
             upstreams_read: Notify::new(),
--- a/crates/vanillakeel-entry/src/gateway/streams.rs
+++ b/crates/vanillakeel-entry/src/gateway/streams.rs
@@ -109,10 +109,14 @@
 }
 
 /// Tells the keepers of the streams that not all peers with which this instance exchanges streams have got yet, since it is
-/// stopping.
-pub(super) fn hand_over(shared: &Shared) {
+/// stopping; of all streams if no successor has got them.
+pub(super) fn hand_over(shared: &Shared, has_successor: bool) {
     let now = shared.clock.now();
-    let missing_from = shared.spread.borrow().missing_from(now);
+    let missing_from = if has_successor {
+        shared.spread.borrow().missing_from(now)
+    } else {
+        0
+    };
     let mut messages: Vec<(Peer, MeshStreams)> = Vec::new();
     let begun = shared.begun_streams.borrow();
     for (stream, software) in begun.iter_from(now, missing_from) {
--- a/crates/vanillakeel-wire/src/generated.rs
+++ b/crates/vanillakeel-wire/src/generated.rs
@@ -661,6 +661,19 @@
     #[prost(bool, tag = "13")]
     pub wants_all: bool,
 }
+/// Streams that a stopping instance keeps on the log for instances that start.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct SavedStreams {
+    /// Wall clock at which they were saved, in ms since 1970.
+    #[prost(uint64, tag = "1")]
+    pub saved_at: u64,
+    /// Time for which a stream is known after it has begun or gone on, in ms.
+    #[prost(uint64, tag = "2")]
+    pub remembered: u64,
+    /// The lists of streams only.
+    #[prost(message, optional, tag = "3")]
+    pub streams: ::core::option::Option<MeshPassedStreams>,
+}
 /// A question for the software version that began a stream.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct MeshStreamQuery {
--- a/crates/vanillakeel/src/mesh/keepers.rs
+++ b/crates/vanillakeel/src/mesh/keepers.rs
@@ -44,8 +44,25 @@
         asked
     }
 
+    /// Returns whether all peers are keepers of each stream, as there are few.
+    #[must_use]
+    pub fn are_all_keepers(&self) -> bool {
+        self.len() <= MAX_PEERS_AS_KEEPERS
+    }
+
+    /// Returns the peers that are told when this instance begins to stop: all if there are few, otherwise the hubs.
+    #[must_use]
+    pub fn told_of_stop(&self, now: Millis) -> Vec<Peer> {
+        if self.are_all_keepers() {
+            return self.peers().cloned().collect();
+        }
+        let mut hubs = self.other_hubs(now);
+        hubs.extend(self.hub(now).cloned());
+        hubs
+    }
+
     fn ranked_keepers(&self, stream: StreamId, own: usize, others: usize) -> Vec<Peer> {
-        if self.len() <= MAX_PEERS_AS_KEEPERS {
+        if self.are_all_keepers() {
             return self.peers().cloned().collect();
         }
         let weight = |name: &str| order::weight_for(stream.get(), name);
--- a/crates/vanillakeel/src/mesh/state.rs
+++ b/crates/vanillakeel/src/mesh/state.rs
@@ -192,15 +192,18 @@
     }
 
     /// Adds a peer; if the data of a known peer have changed, its report and backoff are reset.
-    pub fn on_peer(&mut self, peer: &Peer) {
+    ///
+    /// Returns whether the peer was not known with these data.
+    pub fn on_peer(&mut self, peer: &Peer) -> bool {
         if peer.name == self.me.name {
-            return;
+            return false;
         }
         match self.find(&peer.name) {
             Err(at) => self.peers.insert(at, KnownPeer::new(peer)),
             Ok(at) if self.peers[at].peer != *peer => self.peers[at] = KnownPeer::new(peer),
-            Ok(_) => {}
+            Ok(_) => return false,
         }
+        true
     }
 
     /// Records that the list of peers has been read to its end, and each of them added.
@@ -215,6 +218,19 @@
         }
     }
 
+    /// Returns whether a peer has been heard lately that has not left: a member, the hub, or a hub of another data
+    /// centre.
+    #[must_use]
+    pub fn has_live_peer(&self, now: Millis) -> bool {
+        let is_recent = |received| now.since(received) < self.settings.report_ttl_ms;
+        let has_peer =
+            |data_centre: &str| self.peers().any(|peer| *peer.data_centre == *data_centre);
+        let totals = self.totals.iter().filter(|t| is_recent(t.received));
+        self.reporting_members(now) > 0
+            || self.hears_hub(now)
+            || totals.into_iter().any(|t| has_peer(&t.data_centre))
+    }
+
     /// Returns all known peers in ascending order of name.
     pub fn peers(&self) -> impl Iterator<Item = &Peer> {
         self.peers.iter().map(|k| &k.peer)
--- a/crates/vanillakeel/src/streams/begun.rs
+++ b/crates/vanillakeel/src/streams/begun.rs
@@ -1,6 +1,9 @@
 //! The streams whose version is known here.
 
-use super::StreamId;
+use super::{
+    PassedStream,
+    StreamId, //
+};
 use crate::Millis;
 use std::{
     collections::VecDeque,
@@ -171,6 +174,38 @@
             .map(|b| (b.stream, &self.versions[usize::from(b.version)]))
     }
 
+    /// Returns at most `max` streams that were recorded from the record `number` on, with their ages, and the number
+    /// of the record after them.
+    #[must_use]
+    pub fn passed_from(&self, now: Millis, number: u64, max: usize) -> (Vec<PassedStream>, u64) {
+        let mut next = number.max(self.first);
+        let mut passed = Vec::new();
+        while let Some(record) = self.get(next).filter(|_| passed.len() < max) {
+            next += 1;
+            passed.extend(self.passed(now, record));
+        }
+        (passed, next)
+    }
+
+    /// Records streams that an earlier process has saved.
+    pub fn restore(&mut self, now: Millis, saved: &[PassedStream]) {
+        for stream in saved {
+            self.record_passed(now, stream.stream, &stream.software, stream.age_ms, false);
+        }
+    }
+
+    /// Returns what a peer is told of a record, or `None` if it has expired.
+    pub(super) fn passed(&self, now: Millis, record: &Begun) -> Option<PassedStream> {
+        (now < record.known_until).then(|| PassedStream {
+            stream: record.stream,
+            software: Arc::clone(self.version(record.version)),
+            age_ms: self
+                .settings
+                .remembered_ms
+                .saturating_sub(record.known_until.since(now)),
+        })
+    }
+
     /// Returns the number of records in memory.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/vanillakeel/src/streams/spread.rs
+++ b/crates/vanillakeel/src/streams/spread.rs
@@ -196,6 +196,14 @@
         next.unwrap_or(0)
     }
 
+    /// Forgets a peer that has left.
+    pub fn on_left(&mut self, peer: &str) {
+        self.links.retain(|l| *l.peer != *peer);
+        if self.source.as_deref() == Some(peer) {
+            self.source = None;
+        }
+    }
+
     /// Records the streams of a message, and what its sender knows.
     pub fn on_told(&mut self, now: Millis, peer: &str, told: &Told, begun: &mut BegunStreams) {
         for passed in &told.streams {
@@ -325,13 +333,8 @@
         }
         told.next += 1;
         let is_wanted = towards == Towards::Member || tells_all || !record.is_relayed;
-        if is_wanted && now < record.known_until {
-            let left_ms = record.known_until.since(now);
-            told.streams.push(PassedStream {
-                stream: record.stream,
-                software: Arc::clone(begun.version(record.version)),
-                age_ms: begun.remembered_ms().saturating_sub(left_ms),
-            });
+        if is_wanted {
+            told.streams.extend(begun.passed(now, record));
         }
     }
     told
--- a/crates/vanillakeel/tests/begun_streams.rs
+++ b/crates/vanillakeel/tests/begun_streams.rs
@@ -60,6 +60,33 @@
     assert_eq!(begun.software(now, stream(0)), None);
 }
 
+/// Streams that one process saves are known to the next one for as long as they would have been to the first, and
+/// those that have expired are not saved.
+///
+/// Guards against streams that are known again and again because each process that stops saves them anew.
+#[test]
+fn saved_and_restored() {
+    let life_ms = Settings::default().remembered_ms;
+    let mut begun = BegunStreams::new(Settings::default());
+    begun.record(Millis::ZERO, stream(1), "v1");
+    for n in 2..=4 {
+        begun.record(NOW, stream(n), "v2");
+    }
+    let now = NOW.plus(5_000);
+    let (first, next) = begun.passed_from(now, 0, 2);
+    let (second, end) = begun.passed_from(now, next, 2);
+    assert_eq!((first.len(), second.len(), end), (2, 1, begun.end()));
+    let mut restored = BegunStreams::new(Settings::default());
+    restored.restore(now, &[first, second].concat());
+    for n in 2..=4 {
+        let known_until = NOW.plus(life_ms);
+        let last = restored.software(known_until.minus(1), stream(n));
+        assert_eq!(last.as_deref(), Some("v2"));
+        assert_eq!(restored.software(known_until, stream(n)), None);
+    }
+    assert_eq!(restored.software(now, stream(1)), None);
+}
+
 /// Three data centres with these numbers of instances.
 const SIZES: [usize; 3] = [1, 3, 6];
 
--- a/crates/vanillakeel/tests/mesh_hubs.rs
+++ b/crates/vanillakeel/tests/mesh_hubs.rs
@@ -141,6 +141,35 @@
     }
 }
 
+/// Guards against a hand-over to peers that leave as well, or that are known from the list only.
+#[test]
+fn live_peers() {
+    let mut mesh = mesh("a1");
+    assert!(!mesh.has_live_peer(NOW), "none has been heard");
+    mesh.on_report(NOW, "b1", loads(2), true);
+    assert!(mesh.has_live_peer(NOW));
+    mesh.on_left("b1");
+    assert!(!mesh.has_live_peer(NOW), "it has left");
+    mesh.on_exchange(NOW, "a2", "2", loads(5), 4);
+    assert!(mesh.has_live_peer(NOW));
+    for name in ["a2", "b2", "c2", "d2"] {
+        mesh.on_left(name);
+    }
+    assert!(!mesh.has_live_peer(NOW), "their data centre has left");
+}
+
+/// Guards against instances that are not told of a stop where each of them keeps the streams.
+#[test]
+fn told_of_stop() {
+    let mut mesh = mesh("a1");
+    let told = mesh.told_of_stop(NOW);
+    assert!(told.iter().eq(mesh.peers()), "{told:?}");
+    for name in ["e1", "f1", "e2"] {
+        mesh.on_peer(&peer(name, "1"));
+    }
+    assert!(mesh.told_of_stop(NOW).len() <= 2, "the hubs are told");
+}
+
 /// Guards against counting a member's load twice: the answer to a member leaves out its own report.
 #[test]
 fn member_not_counted_twice() {
