fix(gateway): streams go on at the service that began them

Cause: the service followed from the id of the request that takes the stream up, and instances remembered the version that began a stream without its service. Ruled out: a stream that is not known, which is refused as unknown_stream.

Instances now remember and tell the service with the version, and the stream goes there for as long as its route leads there. Otherwise it goes to a service of the route that has the version. If nobody knows the stream, the id of its first request decides; without that id, a split route refuses it, as any of its services may have begun it.

--- a/crates/vanillakeel-bench/src/faults/lost_instances.rs
+++ b/crates/vanillakeel-bench/src/faults/lost_instances.rs
@@ -18,6 +18,7 @@
     order::Random,
     streams::{
         BegunStreams,
+        Origin,
         Settings,
         Spread,
         StreamId,
@@ -147,10 +148,11 @@
             self.begun += 1;
             let stream = StreamId::of(&format!("request-{}", self.begun));
             let software = ["v1", "v2"][self.random.below(2) as usize];
-            self.instances[index].begun.record(now, stream, software);
+            let origin = Origin::new("service", software);
+            self.instances[index].begun.record(now, stream, &origin);
             for keeper in self.instances[index].mesh.keepers(stream) {
                 if let Some(to) = self.delivered(&keeper) {
-                    self.instances[to].begun.record_told(now, stream, software);
+                    self.instances[to].begun.record_told(now, stream, &origin);
                 }
             }
             self.streams.push((stream, software, now));
--- a/crates/vanillakeel-bench/src/faults/streams.rs
+++ b/crates/vanillakeel-bench/src/faults/streams.rs
@@ -17,6 +17,7 @@
     streams::{
         BegunStreams,
         Lookup,
+        Origin,
         ServedVersions,
         Settings,
         StreamId, //
@@ -281,11 +282,11 @@
         if self.instances[index].is_old {
             return;
         }
-        let (now, software) = (self.now, software(version));
-        self.instances[index].begun.record(now, id, &software);
+        let (now, origin) = (self.now, Origin::new("service", &software(version)));
+        self.instances[index].begun.record(now, id, &origin);
         for keeper in self.instances[index].mesh.keepers(id) {
             if let Some(to) = self.delivered(index, &keeper) {
-                self.instances[to].begun.record(now, id, &software);
+                self.instances[to].begun.record(now, id, &origin);
             }
         }
     }
--- a/crates/vanillakeel-entry/src/gateway/passed_streams.rs
+++ b/crates/vanillakeel-entry/src/gateway/passed_streams.rs
@@ -11,6 +11,7 @@
     mesh::Peer,
     streams::{
         Known,
+        Origin,
         PassedStream,
         StreamId,
         Told,
@@ -75,9 +76,12 @@
 /// Adds streams to the lists of a message.
 pub(super) fn add_streams(wire: &mut MeshPassedStreams, streams: &[PassedStream]) {
     for passed in streams {
-        let known = wire.versions.iter().position(|v| **v == *passed.software);
-        let at = known.unwrap_or_else(|| {
-            wire.versions.push(passed.software.to_string());
+        let Origin { service, software } = &passed.origin;
+        let mut known = wire.versions.iter().zip(&wire.services);
+        let at = known.position(|(v, s)| **v == **software && **s == **service);
+        let at = at.unwrap_or_else(|| {
+            wire.versions.push(software.to_string());
+            wire.services.push(service.to_string());
             wire.versions.len() - 1
         });
         wire.streams.push(passed.stream.get());
@@ -94,9 +98,10 @@
     let passed = wire.streams.iter().zip(details);
     let streams = passed.filter_map(|(stream, (at, age))| {
         let software = wire.versions.get(*at as usize)?;
+        let service = wire.services.get(*at as usize);
         Some(PassedStream {
             stream: StreamId::new(*stream),
-            software: software.as_str().into(),
+            origin: Origin::new(service.map_or("", |s| s), software),
             age_ms: u64::from(*age) * AGE_UNIT_MS,
         })
     });
--- a/crates/vanillakeel-entry/src/gateway/relay.rs
+++ b/crates/vanillakeel-entry/src/gateway/relay.rs
@@ -69,7 +69,8 @@
 };
 use vanillakeel::{
     fleet::CallOutcome,
-    routes::RouteKind, //
+    routes::RouteKind,
+    streams::Origin, //
 };
 
 /// Result of the attempt to resume a broken stream at another upstream.
@@ -278,7 +279,11 @@
         if let RelayState::Receiving(receiving) = &self.state
             && let Some(software) = &receiving.0.pick.software
         {
-            streams::on_first_event(&self.shared, self.request.stream(), software);
+            let origin = Origin {
+                service: Arc::clone(&self.request.service),
+                software: Arc::clone(software),
+            };
+            streams::on_first_event(&self.shared, self.request.stream(), &origin);
         }
     }
 
--- a/crates/vanillakeel-entry/src/gateway/request.rs
+++ b/crates/vanillakeel-entry/src/gateway/request.rs
@@ -366,8 +366,14 @@
         .await?;
     let mut request = route_request(shared, &table, arrived, parts, body)?;
     *routed = Some(request.facts());
+    let origin = streams::origin_of(shared, &request).await;
+    if let Ok(Some(origin)) = &origin {
+        request.max_connections = max_connections(shared, &table, &origin.service);
+        request.service = Arc::clone(&origin.service);
+        *routed = Some(request.facts());
+    }
     retries::on_request(shared, &request.service);
-    request.software = streams::software_of(shared, &request).await?;
+    request.software = origin?.map(|o| o.software);
     exchange::forward(shared, request).await
 }
 
@@ -439,9 +445,18 @@
         None => route.timeout_ms,
     };
     let deadline = arrived.plus(route.timeout_ms.min(deadline_ms));
-    let service = route
-        .service_for(order::hash(&id))
-        .ok_or(Refusal::NoUpstream)?;
+    let resumes = headers::str_value(&head.headers, &names.resumes);
+    let continues = if route.kind == (RouteKind::Stream { resumable: true }) {
+        continued_stream(&head.headers, resumes)
+    } else {
+        None
+    };
+    // A stream that nobody knows was begun by the service that its first request was sent to.
+    let sample = match continues {
+        Some(Continued::Stream(stream)) => stream.get(),
+        _ => order::hash(&id),
+    };
+    let service = route.service_for(sample).ok_or(Refusal::NoUpstream)?;
     let mut out = headers::for_upstream(names, &head.headers, !table.requires_keys());
     let mut set = |name: &http::HeaderName, value: &str| {
         if let Ok(value) = HeaderValue::from_str(value) {
@@ -451,21 +466,8 @@
     if let Some(workspace) = workspace {
         set(&names.workspace, &workspace.name);
     }
-    let resumes = headers::str_value(&head.headers, &names.resumes);
-    let continues = if route.kind == (RouteKind::Stream { resumable: true }) {
-        continued_stream(&head.headers, resumes)
-    } else {
-        None
-    };
     let rank = table.rank(workspace, route);
     set(&names.priority, &rank.to_string());
-    let max_connections = table.service(service).map_or(1, |s| s.max_connections);
-    let assumed_instances = shared.settings.borrow().retries.instances;
-    let max_connections = division::whole_part(
-        max_connections,
-        shared.sharing_instances(),
-        assumed_instances,
-    );
     let path = head.uri.path_and_query().map_or("/", |p| p.as_str());
     let prompt_segments =
         parse_prompt_segments(headers::str_value(&head.headers, &names.prompt_segments));
@@ -488,7 +490,7 @@
         is_begun: Cell::new(false),
         digest: OnceCell::new(),
         uri: path.parse().map_err(|_| Refusal::BadHeader)?,
-        max_connections,
+        max_connections: max_connections(shared, table, service),
         id,
         method: head.method,
         headers: out,
@@ -499,6 +501,17 @@
     })
 }
 
+/// Returns the most connections that this instance may have to one upstream of a service.
+fn max_connections(shared: &Shared, table: &Table, service: &str) -> u32 {
+    let max_connections = table.service(service).map_or(1, |s| s.max_connections);
+    let assumed_instances = shared.settings.borrow().retries.instances;
+    division::whole_part(
+        max_connections,
+        shared.sharing_instances(),
+        assumed_instances,
+    )
+}
+
 /// Returns the stream that a request continues, whose first request is `resumes`.
 fn continued_stream(headers: &HeaderMap, resumes: Option<&str>) -> Option<Continued> {
     let named = resumes.map(|id| Continued::Stream(StreamId::of(id.trim())));
--- a/crates/vanillakeel-entry/src/gateway/streams.rs
+++ b/crates/vanillakeel-entry/src/gateway/streams.rs
@@ -1,8 +1,8 @@
 //! Streams that callers take up with another request.
 //!
-//! [`on_first_event`] tells the keepers of a stream by which software version it began, before the first
+//! [`on_first_event`] tells the keepers of a stream by which service and software version it began, before the first
 //! event is relayed; what all others are told stands in [`passed_streams`](super::passed_streams).
-//! [`software_of`] finds the version for a request that continues a stream: in the
+//! [`origin_of`] finds both for a request that continues a stream: in the
 //! memory of this instance, by asking the keepers, or since only one version can have begun the stream.
 
 use super::{
@@ -30,6 +30,7 @@
     mesh::Peer,
     streams::{
         Lookup,
+        Origin,
         StreamId, //
     },
 };
@@ -89,18 +90,19 @@
     }
 }
 
-/// Records the version at which a stream has begun or gone on, and tells its keepers.
+/// Records the service and version at which a stream has begun or gone on, and tells its keepers.
 ///
 /// This is called before the event is relayed, so that the keepers know the stream even if this
 /// instance ends right after.
-pub(super) fn on_first_event(shared: &Shared, stream: StreamId, software: &str) {
+pub(super) fn on_first_event(shared: &Shared, stream: StreamId, origin: &Origin) {
     let now = shared.clock.now();
     let mut begun = shared.begun_streams.borrow_mut();
-    begun.record(now, stream, software);
+    begun.record(now, stream, origin);
     drop(begun);
     let message = Message::Streams(MeshStreams {
         streams: vec![stream.get()],
-        software: vec![software.to_owned()],
+        software: vec![origin.software.to_string()],
+        services: vec![origin.service.to_string()],
     });
     let keepers = shared.mesh.borrow().keepers(stream);
     for keeper in keepers {
@@ -119,7 +121,7 @@
     };
     let mut messages: Vec<(Peer, MeshStreams)> = Vec::new();
     let begun = shared.begun_streams.borrow();
-    for (stream, software) in begun.iter_from(now, missing_from) {
+    for (stream, origin) in begun.iter_from(now, missing_from) {
         for keeper in shared.mesh.borrow().keepers(stream) {
             let at = match messages.binary_search_by(|(peer, _)| peer.name.cmp(&keeper.name)) {
                 Ok(at) => at,
@@ -130,7 +132,8 @@
             };
             let (keeper, told) = &mut messages[at];
             told.streams.push(stream.get());
-            told.software.push(software.to_string());
+            told.software.push(origin.software.to_string());
+            told.services.push(origin.service.to_string());
             if told.streams.len() == MAX_STREAMS_PER_DATAGRAM {
                 let told = std::mem::take(told);
                 datagrams::try_send(shared, keeper, Message::Streams(told));
@@ -146,8 +149,11 @@
 pub(super) fn on_told(shared: &Shared, streams: &MeshStreams) {
     let now = shared.clock.now();
     let mut begun = shared.begun_streams.borrow_mut();
-    for (stream, software) in streams.streams.iter().zip(&streams.software) {
-        begun.record_told(now, StreamId::new(*stream), software);
+    let told = streams.streams.iter().zip(&streams.software);
+    for (at, (stream, software)) in told.enumerate() {
+        let service = streams.services.get(at).map_or("", |s| s);
+        let origin = Origin::new(service, software);
+        begun.record_told(now, StreamId::new(*stream), &origin);
     }
 }
 
@@ -155,14 +161,15 @@
 pub(super) fn answer(shared: &Shared, query: &MeshStreamQuery) -> MeshStreamAnswer {
     let now = shared.clock.now();
     let begun = shared.begun_streams.borrow();
-    let software = begun.software(now, StreamId::new(query.stream));
-    let sole = match software {
+    let origin = begun.origin(now, StreamId::new(query.stream));
+    let sole = match origin {
         Some(_) => None,
         None => shared.sole_software(&query.service),
     };
     MeshStreamAnswer {
         stream: query.stream,
-        software: software.as_deref().map(str::to_owned),
+        software: origin.map(|o| o.software.to_string()),
+        service: origin.map_or_else(String::new, |o| o.service.to_string()),
         sole_software: sole.as_deref().map(str::to_owned),
     }
 }
@@ -177,7 +184,8 @@
     }
     if let Some(software) = &answer.software {
         let mut begun = shared.begun_streams.borrow_mut();
-        begun.record_told(shared.clock.now(), stream, software);
+        let origin = Origin::new(&answer.service, software);
+        begun.record_told(shared.clock.now(), stream, &origin);
     }
     for lookup in pending {
         if answer.software.is_none() {
@@ -188,57 +196,77 @@
     }
 }
 
-/// Returns the software version at which the stream of a request has to go on, or `None` if the
+/// Returns the service and the version at which the stream of a request has to go on, or `None` if the
 /// request begins a stream or has none.
 ///
+/// That is the service that began it, as long as the route leads there, and otherwise one to which it leads now.
+///
 /// # Errors
 ///
 /// Returns a refusal as not run if the version is not known, or if no upstream of it is left.
-pub(super) async fn software_of(
+pub(super) async fn origin_of(
     shared: &Rc<Shared>,
     request: &RoutedRequest,
-) -> Result<Option<Arc<str>>, Refusal> {
+) -> Result<Option<Origin>, Refusal> {
     let Some(continued) = request.continues else {
         return Ok(None);
     };
     let asked_at = shared.clock.now();
     let in_memory = match continued {
-        Continued::Stream(stream) => shared.begun_streams.borrow().software(asked_at, stream),
+        Continued::Stream(stream) => shared
+            .begun_streams
+            .borrow()
+            .origin(asked_at, stream)
+            .cloned(),
+        // Any of several services may have begun it.
+        Continued::Unnamed if request.route.allowed_services().nth(1).is_some() => {
+            return Err(Refusal::UnknownStream(None));
+        }
         Continued::Unnamed => None,
     };
-    let (software, known_by) = match in_memory {
-        Some(software) => (software, KnownBy::Memory),
+    let (origin, known_by) = match in_memory {
+        Some(origin) => (origin, KnownBy::Memory),
         None => ask_keepers(shared, request).await?,
     };
+    let service = present_service(shared, request, &origin);
     shared.metrics.on_taken_up(known_by.as_str());
     if shared.may_log(Kind::Usual) {
         tracing::info!(
             request = %request.id,
             resumes = request.resumes.as_deref(),
-            software = &*software,
+            software = &*origin.software,
+            begun_by = &*origin.service,
+            service = service.as_deref(),
             known_by = known_by.as_str(),
             asked_ms = shared.clock.now().since(asked_at),
             "stream taken up"
         );
     }
-    let serves = |software: &str| {
-        let fleet = shared.fleet.borrow();
-        fleet.serves_software(&request.service, software)
-    };
-    if !serves(&software) {
-        return Err(Refusal::VersionGone);
+    let service = service.ok_or(Refusal::VersionGone)?;
+    Ok(Some(Origin { service, ..origin }))
+}
+
+/// Returns the service at which a stream goes on, or `None` if no upstream is left that may run it.
+fn present_service(shared: &Shared, request: &RoutedRequest, origin: &Origin) -> Option<Arc<str>> {
+    let fleet = shared.fleet.borrow();
+    let serves = |service: &Arc<str>| fleet.serves_software(service, &origin.software);
+    let mut allowed = request.route.allowed_services();
+    if let Some(service) = allowed.find(|s| **s == origin.service) {
+        return Some(service).filter(|s| serves(s)).cloned();
     }
-    Ok(Some(software))
+    let chosen = std::iter::once(&request.service);
+    let mut others = chosen.chain(request.route.allowed_services());
+    others.find(|s| serves(s)).cloned()
 }
 
-/// Asks the keepers of a stream for the version that began it.
+/// Asks the keepers of a stream for the service and the version that began it.
 ///
 /// If no keeper knows the stream, it can still go on where only one version has served for as long as
 /// streams live.
 async fn ask_keepers(
     shared: &Rc<Shared>,
     request: &RoutedRequest,
-) -> Result<(Arc<str>, KnownBy), Refusal> {
+) -> Result<(Origin, KnownBy), Refusal> {
     let stream = request.stream();
     let now = shared.clock.now();
     let keepers = shared.mesh.borrow().keepers_to_ask(now, stream);
@@ -254,7 +282,7 @@
         }
         let due = Duration::from_millis(ANSWER_DUE_MS);
         match timeout(due, lookup.known_or_over()).await {
-            Ok(Some(software)) => return Ok((software, KnownBy::Keeper)),
+            Ok(Some(origin)) => return Ok((origin, KnownBy::Keeper)),
             Ok(None) => break,
             Err(_) => {}
         }
@@ -262,7 +290,10 @@
     let lookup = lookup.pending.lookup.borrow().clone();
     let vouched = lookup.sole();
     match sole_software(shared, request, vouched).await {
-        Some(software) => Ok((software, KnownBy::SoleVersion)),
+        Some(software) => {
+            let service = Arc::clone(&request.service);
+            Ok((Origin { service, software }, KnownBy::SoleVersion))
+        }
         // If no keeper can be reached from here, another instance may still know the stream.
         None => Err(Refusal::UnknownStream((!lookup.is_answered()).then_some(0))),
     }
@@ -326,15 +357,16 @@
         Self { shared, pending }
     }
 
-    /// Waits until the version is known, or until all keepers have said that they don't know it.
-    async fn known_or_over(&self) -> Option<Arc<str>> {
+    /// Waits until the origin is known, or until all keepers have said that they don't know it.
+    async fn known_or_over(&self) -> Option<Origin> {
         loop {
             let now = self.shared.clock.now();
             let known = self
                 .shared
                 .begun_streams
                 .borrow()
-                .software(now, self.pending.stream);
+                .origin(now, self.pending.stream)
+                .cloned();
             if known.is_some() || self.pending.lookup.borrow().is_over() {
                 return known;
             }
--- a/crates/vanillakeel-wire/src/generated.rs
+++ b/crates/vanillakeel-wire/src/generated.rs
@@ -619,6 +619,9 @@
     /// Versions of the upstreams' software.
     #[prost(string, repeated, tag = "2")]
     pub software: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// Services of the upstreams: a list of equal length, or empty if the sender does not say.
+    #[prost(string, repeated, tag = "3")]
+    pub services: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 /// Streams that have begun, passed on to all instances.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -648,6 +651,9 @@
     /// Versions of the upstreams' software.
     #[prost(string, repeated, tag = "9")]
     pub versions: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// The services to which these belong: a list of equal length, or empty if the sender does not say.
+    #[prost(string, repeated, tag = "14")]
+    pub services: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
     /// The receiver's numbering as far as the sender knows it, and the first number that it misses.
     #[prost(fixed64, tag = "10")]
     pub known_log: u64,
@@ -695,6 +701,9 @@
     /// live, if there was only one.
     #[prost(string, optional, tag = "3")]
     pub sole_software: ::core::option::Option<::prost::alloc::string::String>,
+    /// Service that began the stream; empty if it is not known.
+    #[prost(string, tag = "4")]
+    pub service: ::prost::alloc::string::String,
 }
 /// An upstream as service discovery lists it.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/crates/vanillakeel/src/routes/parts.rs
+++ b/crates/vanillakeel/src/routes/parts.rs
@@ -68,6 +68,17 @@
 }
 
 impl Route {
+    /// Returns the services that may get requests: those with a weight, or the first one if none has any.
+    pub fn allowed_services(&self) -> impl Iterator<Item = &Arc<str>> {
+        let has_weight = self.services.iter().any(|s| s.weight > 0);
+        let without_weights = usize::from(!has_weight);
+        self.services
+            .iter()
+            .enumerate()
+            .filter(move |(at, s)| s.weight > 0 || *at < without_weights)
+            .map(|(_, s)| &s.service)
+    }
+
     /// Returns the service for a request, chosen by weight with the evenly distributed number
     /// `sample`.
     #[must_use]
--- a/crates/vanillakeel/src/streams.rs
+++ b/crates/vanillakeel/src/streams.rs
@@ -1,6 +1,6 @@
-//! The software version that began a stream, for callers that take it up with another request.
+//! The service and the software version that began a stream, for callers that take it up with another request.
 //!
-//! A stream may only go on at the software version that began it. The caller names the request that
+//! A stream may only go on at the software version that began it, and at its service while the route leads there. The caller names the request that
 //! brought the first event, and may do so at any instance, also after the first one has ended. The
 //! instance that relays the first event therefore tells a few others, the *keepers* of the stream,
 //! before the caller gets it ([`Mesh::keepers`](crate::mesh::Mesh::keepers)). All others are told within a
@@ -9,11 +9,11 @@
 //! [has served](ServedVersions) for as long as streams live.
 //!
 //! ```
-//! use vanillakeel::{Millis, streams::{BegunStreams, Settings, StreamId}};
+//! use vanillakeel::{Millis, streams::{BegunStreams, Origin, Settings, StreamId}};
 //!
 //! let mut begun = BegunStreams::new(Settings::default());
 //! let stream = StreamId::of("request-1");
-//! begun.record(Millis::ZERO, stream, "v2");
+//! begun.record(Millis::ZERO, stream, &Origin::new("drafts", "v2"));
 //! assert_eq!(begun.software(Millis::new(500), stream).as_deref(), Some("v2"));
 //! ```
 
@@ -40,6 +40,27 @@
 };
 
 use crate::order;
+use std::sync::Arc;
+
+/// Where a stream began.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Origin {
+    /// Name of the service; empty if an instance told of the stream that does not say.
+    pub service: Arc<str>,
+    /// Version of the software.
+    pub software: Arc<str>,
+}
+
+impl Origin {
+    /// Creates the origin of streams that a version of a service began.
+    #[must_use]
+    pub fn new(service: &str, software: &str) -> Self {
+        Self {
+            service: Arc::from(service),
+            software: Arc::from(software),
+        }
+    }
+}
 
 /// Identifies a stream by the request that brought its first event.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/crates/vanillakeel/src/streams/begun.rs
+++ b/crates/vanillakeel/src/streams/begun.rs
@@ -1,6 +1,7 @@
-//! The streams whose version is known here.
+//! The streams whose origin is known here.
 
 use super::{
+    Origin,
     PassedStream,
     StreamId, //
 };
@@ -36,15 +37,15 @@
 #[derive(Clone, Debug)]
 pub(super) struct Begun {
     pub(super) stream: StreamId,
-    /// Position in the table of versions.
-    pub(super) version: u16,
+    /// Position in the table of origins.
+    pub(super) origin: u16,
     /// Whether it has come down the tree, so that other hubs know it from elsewhere.
     pub(super) is_relayed: bool,
     /// Time at which the stream is forgotten.
     pub(super) known_until: Millis,
 }
 
-/// The streams whose version is known here: those that began here, and those that peers have told of.
+/// The streams whose origin is known here: those that began here, and those that peers have told of.
 ///
 /// Records are numbered in the order in which they were made, so that [`Spread`](super::Spread) can say
 /// up to which one a peer knows them.
@@ -57,8 +58,8 @@
     first: u64,
     /// Low bits of the numbers of the records that count, sorted by stream.
     index: Vec<u32>,
-    /// Versions that have occurred.
-    versions: Vec<Arc<str>>,
+    /// Services with versions that have occurred.
+    origins: Vec<Origin>,
     /// Time from which the next record first drops what has expired.
     sweep_at: Millis,
 }
@@ -72,7 +73,7 @@
             records: VecDeque::new(),
             first: 0,
             index: Vec::new(),
-            versions: Vec::new(),
+            origins: Vec::new(),
             sweep_at: Millis::ZERO,
         }
     }
@@ -88,21 +89,21 @@
         self.settings.remembered_ms
     }
 
-    /// Records that a stream has begun or gone on at a version.
-    pub fn record(&mut self, now: Millis, stream: StreamId, software: &str) {
+    /// Records that a stream has begun or gone on at a version of a service.
+    pub fn record(&mut self, now: Millis, stream: StreamId, origin: &Origin) {
         let known_until = now.plus(self.settings.remembered_ms);
-        self.insert(now, stream, software, known_until, false);
+        self.insert(now, stream, origin, known_until, false);
     }
 
     /// Records a stream of which an instance tells that has relayed its first event.
-    pub fn record_told(&mut self, now: Millis, stream: StreamId, software: &str) {
+    pub fn record_told(&mut self, now: Millis, stream: StreamId, origin: &Origin) {
         let is_known = self.find_record(stream).is_some_and(|known| {
             let known_until = now.plus(self.settings.remembered_ms);
-            *self.versions[usize::from(known.version)] == *software
+            self.origins[usize::from(known.origin)] == *origin
                 && known_until.since(known.known_until) <= NEWER_MS
         });
         if !is_known {
-            self.record(now, stream, software);
+            self.record(now, stream, origin);
         }
     }
 
@@ -114,7 +115,7 @@
         &mut self,
         now: Millis,
         stream: StreamId,
-        software: &str,
+        origin: &Origin,
         age_ms: u64,
         is_relayed: bool,
     ) {
@@ -122,7 +123,7 @@
         let known = self.find_record(stream);
         let is_newer = known.is_none_or(|k| known_until.since(k.known_until) > NEWER_MS);
         if now < known_until && is_newer {
-            self.insert(now, stream, software, known_until, is_relayed);
+            self.insert(now, stream, origin, known_until, is_relayed);
         }
     }
 
@@ -130,14 +131,14 @@
         &mut self,
         now: Millis,
         stream: StreamId,
-        software: &str,
+        origin: &Origin,
         known_until: Millis,
         is_relayed: bool,
     ) {
         if now >= self.sweep_at || self.records.len() >= self.settings.max_streams {
             self.sweep(now);
         }
-        let Some(version) = self.version_number(software) else {
+        let Some(origin) = self.origin_number(origin) else {
             return;
         };
         let number = self.end() as u32;
@@ -147,31 +148,34 @@
         }
         self.records.push_back(Begun {
             stream,
-            version,
+            origin,
             is_relayed,
             known_until,
         });
     }
 
+    /// Returns where a stream began, if that is known.
+    #[must_use]
+    pub fn origin(&self, now: Millis, stream: StreamId) -> Option<&Origin> {
+        let begun = self.find_record(stream)?;
+        (now < begun.known_until).then(|| &self.origins[usize::from(begun.origin)])
+    }
+
     /// Returns the version that began a stream, if it is known.
     #[must_use]
     pub fn software(&self, now: Millis, stream: StreamId) -> Option<Arc<str>> {
-        let begun = self.find_record(stream)?;
-        (now < begun.known_until).then(|| Arc::clone(&self.versions[usize::from(begun.version)]))
+        let origin = self.origin(now, stream)?;
+        Some(Arc::clone(&origin.software))
     }
 
-    /// Returns the streams that were recorded from the record `number` on, with their versions.
-    pub fn iter_from(
-        &self,
-        now: Millis,
-        number: u64,
-    ) -> impl Iterator<Item = (StreamId, &Arc<str>)> {
+    /// Returns the streams that were recorded from the record `number` on, with their origins.
+    pub fn iter_from(&self, now: Millis, number: u64) -> impl Iterator<Item = (StreamId, &Origin)> {
         let skipped = usize::try_from(number.saturating_sub(self.first)).unwrap_or(usize::MAX);
         self.records
             .iter()
             .skip(skipped)
             .filter(move |b| now < b.known_until)
-            .map(|b| (b.stream, &self.versions[usize::from(b.version)]))
+            .map(|b| (b.stream, &self.origins[usize::from(b.origin)]))
     }
 
     /// Returns at most `max` streams that were recorded from the record `number` on, with their ages, and the number
@@ -190,7 +194,7 @@
     /// Records streams that an earlier process has saved.
     pub fn restore(&mut self, now: Millis, saved: &[PassedStream]) {
         for stream in saved {
-            self.record_passed(now, stream.stream, &stream.software, stream.age_ms, false);
+            self.record_passed(now, stream.stream, &stream.origin, stream.age_ms, false);
         }
     }
 
@@ -198,7 +202,7 @@
     pub(super) fn passed(&self, now: Millis, record: &Begun) -> Option<PassedStream> {
         (now < record.known_until).then(|| PassedStream {
             stream: record.stream,
-            software: Arc::clone(self.version(record.version)),
+            origin: self.origins[usize::from(record.origin)].clone(),
             age_ms: self
                 .settings
                 .remembered_ms
@@ -235,11 +239,6 @@
         self.records.get(usize::try_from(at).ok()?)
     }
 
-    /// Returns the name of a version.
-    pub(super) fn version(&self, number: u16) -> &Arc<str> {
-        &self.versions[usize::from(number)]
-    }
-
     /// Returns the number of the first record of a stream that has begun or gone on since a time.
     pub(super) fn first_since(&self, since: Millis) -> u64 {
         let known_until = since.plus(self.settings.remembered_ms);
@@ -263,12 +262,12 @@
         self.index.binary_search_by_key(&stream, stream_of)
     }
 
-    /// Returns the number of a version, or `None` if there are too many.
-    fn version_number(&mut self, software: &str) -> Option<u16> {
-        let known = self.versions.iter().position(|v| **v == *software);
+    /// Returns the number of an origin, or `None` if there are too many.
+    fn origin_number(&mut self, origin: &Origin) -> Option<u16> {
+        let known = self.origins.iter().position(|o| o == origin);
         let number = known.unwrap_or_else(|| {
-            self.versions.push(Arc::from(software));
-            self.versions.len() - 1
+            self.origins.push(origin.clone());
+            self.origins.len() - 1
         });
         u16::try_from(number).ok()
     }
@@ -292,7 +291,7 @@
         self.records.drain(..dropped);
         self.first += dropped as u64;
         if self.records.is_empty() {
-            self.versions.clear();
+            self.origins.clear();
         }
     }
 }
--- a/crates/vanillakeel/src/streams/spread.rs
+++ b/crates/vanillakeel/src/streams/spread.rs
@@ -1,4 +1,4 @@
-//! Passes on to all instances which version began which stream.
+//! Passes on to all instances which version of which service began which stream.
 //!
 //! The keepers of a stream are few, and a disruption may end all of them. The others learn of it within a few
 //! exchanges, many streams in a message, along the tree on which load travels: a member tells the hub of its data
@@ -8,13 +8,13 @@
 //! missed streams.
 //!
 //! ```
-//! use vanillakeel::{Millis, streams::{BegunStreams, Settings, Spread, StreamId, Towards}};
+//! use vanillakeel::{Millis, streams::{BegunStreams, Origin, Settings, Spread, StreamId, Towards}};
 //!
 //! let now = Millis::new(60_000);
 //! let (mut member, mut hub) = (Spread::new(1), Spread::new(2));
 //! let mut begun = BegunStreams::new(Settings::default());
 //! let mut begun_at_hub = BegunStreams::new(Settings::default());
-//! begun.record(now, StreamId::of("request-1"), "v2");
+//! begun.record(now, StreamId::of("request-1"), &Origin::new("drafts", "v2"));
 //! // The first message of the hub asks for the streams of the member.
 //! for told in hub.tell(now, "member", Towards::Member, &begun_at_hub) {
 //!     member.on_told(now, "hub", &told, &mut begun);
@@ -27,6 +27,7 @@
 
 use super::{
     BegunStreams,
+    Origin,
     StreamId, //
 };
 use crate::Millis;
@@ -62,8 +63,8 @@
 pub struct PassedStream {
     /// Its id.
     pub stream: StreamId,
-    /// Version that began it.
-    pub software: Arc<str>,
+    /// Where it began.
+    pub origin: Origin,
     /// Time since it has begun or gone on, in ms.
     pub age_ms: u64,
 }
@@ -209,10 +210,10 @@
         for passed in &told.streams {
             let PassedStream {
                 stream,
-                software,
+                origin,
                 age_ms,
             } = passed;
-            begun.record_passed(now, *stream, software, *age_ms, told.is_relayed);
+            begun.record_passed(now, *stream, origin, *age_ms, told.is_relayed);
         }
         let own_log = self.log;
         let link = self.link(now, peer);
--- a/crates/vanillakeel/tests/begun_streams.rs
+++ b/crates/vanillakeel/tests/begun_streams.rs
@@ -12,6 +12,7 @@
     streams::{
         BegunStreams,
         Lookup,
+        Origin,
         Settings,
         StreamId, //
     },
@@ -23,6 +24,10 @@
     StreamId::of(&format!("request-{number}"))
 }
 
+fn origin(software: &str) -> Origin {
+    Origin::new("service-a", software)
+}
+
 /// A stream is known for a limited time after it has begun or was taken up.
 ///
 /// Guards against memory that grows, and against streams that are forgotten while they go on.
@@ -32,15 +37,15 @@
         remembered_ms: 1_000,
         ..Settings::default()
     });
-    begun.record(NOW, stream(1), "v1");
-    begun.record(NOW, stream(2), "v2");
-    begun.record(NOW.plus(800), stream(2), "v2");
+    begun.record(NOW, stream(1), &origin("v1"));
+    begun.record(NOW, stream(2), &origin("v2"));
+    begun.record(NOW.plus(800), stream(2), &origin("v2"));
     let at = |ms| [1, 2].map(|n| begun.software(NOW.plus(ms), stream(n)));
     assert_eq!(at(999), [Some(Arc::from("v1")), Some(Arc::from("v2"))]);
     assert_eq!(at(1_000), [None, Some(Arc::from("v2"))]);
     assert_eq!(at(1_800), [None, None]);
     assert_eq!(begun.software(NOW, stream(3)), None);
-    begun.record(NOW.plus(5_000), stream(4), "v2");
+    begun.record(NOW.plus(5_000), stream(4), &origin("v2"));
     assert_eq!(begun.len(), 1);
 }
 
@@ -52,7 +57,7 @@
         ..Settings::default()
     });
     for n in 0..500 {
-        begun.record(NOW.plus(n), stream(n), "v1");
+        begun.record(NOW.plus(n), stream(n), &origin("v1"));
     }
     assert!(begun.len() <= 100, "{}", begun.len());
     let now = NOW.plus(500);
@@ -68,9 +73,9 @@
 fn saved_and_restored() {
     let life_ms = Settings::default().remembered_ms;
     let mut begun = BegunStreams::new(Settings::default());
-    begun.record(Millis::ZERO, stream(1), "v1");
+    begun.record(Millis::ZERO, stream(1), &origin("v1"));
     for n in 2..=4 {
-        begun.record(NOW, stream(n), "v2");
+        begun.record(NOW, stream(n), &origin("v2"));
     }
     let now = NOW.plus(5_000);
     let (first, next) = begun.passed_from(now, 0, 2);
--- a/crates/vanillakeel/tests/passed_streams.rs
+++ b/crates/vanillakeel/tests/passed_streams.rs
@@ -6,6 +6,7 @@
     order::Random,
     streams::{
         BegunStreams,
+        Origin,
         Settings,
         Spread,
         StreamId,
@@ -84,7 +85,8 @@
     fn begin(&mut self, instance: usize, number: u64) {
         let software = format!("v{}", number % 2);
         let begun = &mut self.instances[instance].begun;
-        begun.record(self.now, stream(number), &software);
+        let origin = Origin::new("service-a", &software);
+        begun.record(self.now, stream(number), &origin);
     }
 
     fn hub_of(&self, data_centre: usize) -> Option<usize> {
