fix(gateway): an empty list of workspaces takes all keys away

Cause: a configuration without the list, which needs no keys, and one with an empty list had the same value. Ruled out: an old version in force, since the same requests were denied while another workspace was left.

The list is optional now, and an empty one requires keys. If a later version has no list, requests need no key, but keys that an earlier version held at the instance stay refused, and Authorization goes to no upstream.

--- a/crates/vanillakeel-entry/src/gateway/request.rs
+++ b/crates/vanillakeel-entry/src/gateway/request.rs
@@ -457,7 +457,7 @@
         _ => order::hash(&id),
     };
     let service = route.service_for(sample).ok_or(Refusal::NoUpstream)?;
-    let mut out = headers::for_upstream(names, &head.headers, !table.requires_keys());
+    let mut out = headers::for_upstream(names, &head.headers, !table.has_used_keys());
     let mut set = |name: &http::HeaderName, value: &str| {
         if let Ok(value) = HeaderValue::from_str(value) {
             out.insert(name.clone(), value);
@@ -531,10 +531,17 @@
 
 /// Checks the key of a request.
 fn check_access<'a>(table: &'a Table, route: &Route, headers: &HeaderMap) -> Access<'a> {
-    if route.public || !table.requires_keys() {
+    if route.public {
         return Access::KeyNotRequired;
     }
-    let workspace = bearer_token(headers).and_then(|key| table.workspace_of_key(key));
+    let key = bearer_token(headers);
+    if !table.requires_keys() {
+        return match key {
+            Some(key) if table.is_former_key(key) => Access::Denied,
+            _ => Access::KeyNotRequired,
+        };
+    }
+    let workspace = key.and_then(|key| table.workspace_of_key(key));
     workspace.map_or(Access::Denied, Access::Granted)
 }
 
--- a/crates/vanillakeel/src/routes.rs
+++ b/crates/vanillakeel/src/routes.rs
@@ -55,6 +55,9 @@
     /// Hash of each key, the key and the index of its workspace, sorted.
     keys: Vec<(u64, String, usize)>,
     workspaces: Vec<Workspace>,
+    requires_keys: bool,
+    /// Keys that earlier versions held, with their hashes, if this version requires none; sorted.
+    former_keys: Vec<(u64, String)>,
     ranks: RankTable,
     limits: Limits,
 }
@@ -70,6 +73,8 @@
             workspaces,
             limits,
         } = spec;
+        let requires_keys = workspaces.is_some();
+        let workspaces = workspaces.unwrap_or_default();
         let workspace_priorities: Vec<_> = workspaces.iter().map(|w| w.priority).collect();
         let route_priorities: Vec<_> = routes.iter().map(|r| r.priority).collect();
         let ranks = RankTable::new(&workspace_priorities, &route_priorities);
@@ -95,11 +100,27 @@
             services,
             keys,
             workspaces,
+            requires_keys,
+            former_keys: Vec::new(),
             ranks,
             limits,
         }
     }
 
+    /// Remembers the keys that the version before this one held, or remembered, if this version requires none.
+    fn follow(&mut self, earlier: &Self) {
+        if self.requires_keys {
+            return;
+        }
+        let held = earlier
+            .keys
+            .iter()
+            .map(|(hash, key, _)| (*hash, key.clone()));
+        let former = held.chain(earlier.former_keys.iter().cloned());
+        self.former_keys = former.collect();
+        self.former_keys.sort_unstable();
+    }
+
     /// Returns the version.
     #[must_use]
     pub const fn version(&self) -> u64 {
@@ -150,7 +171,22 @@
     /// Returns whether requests need a key, except on public routes.
     #[must_use]
     pub const fn requires_keys(&self) -> bool {
-        !self.workspaces.is_empty()
+        self.requires_keys
+    }
+
+    /// Returns whether `key` was taken away by this version, which requires none.
+    #[must_use]
+    pub fn is_former_key(&self, key: &str) -> bool {
+        let hash = order::hash(key);
+        let start = self.former_keys.partition_point(|k| k.0 < hash);
+        let same_hash = self.former_keys[start..].iter();
+        same_hash.take_while(|k| k.0 == hash).any(|k| k.1 == key)
+    }
+
+    /// Returns whether this version requires keys, or an earlier one did.
+    #[must_use]
+    pub const fn has_used_keys(&self) -> bool {
+        self.requires_keys || !self.former_keys.is_empty()
     }
 
     /// Returns the workspace that owns `key`.
--- a/crates/vanillakeel/src/routes/in_force.rs
+++ b/crates/vanillakeel/src/routes/in_force.rs
@@ -95,12 +95,17 @@
     }
 
     /// Puts a version in force if it is newer than the present one; returns whether it is.
-    pub fn install(&mut self, table: Table) -> bool {
+    ///
+    /// Keys that the present one holds stay refused if the newer one requires no keys.
+    pub fn install(&mut self, mut table: Table) -> bool {
         let is_newer = self
             .table
             .as_ref()
             .is_none_or(|t| table.version() > t.version());
         if is_newer {
+            if let Some(earlier) = &self.table {
+                table.follow(earlier);
+            }
             self.table = Some(Rc::new(table));
         }
         is_newer
--- a/crates/vanillakeel/src/routes/parts.rs
+++ b/crates/vanillakeel/src/routes/parts.rs
@@ -173,8 +173,8 @@
     pub routes: Vec<Route>,
     /// Services in any order.
     pub services: Vec<Service>,
-    /// Workspaces with their keys.
-    pub workspaces: Vec<Workspace>,
+    /// Workspaces with their keys; `None` if requests need no key. With an empty list no key is valid.
+    pub workspaces: Option<Vec<Workspace>>,
     /// Limits on callers.
     pub limits: Limits,
 }
--- a/crates/vanillakeel/tests/passed_routes.rs
+++ b/crates/vanillakeel/tests/passed_routes.rs
@@ -32,7 +32,7 @@
             route("a.example", "/x/"),
             route("a.example", "/x/y/"),
         ],
-        workspaces: vec![
+        workspaces: Some(vec![
             Workspace {
                 name: "clerks".into(),
                 keys: vec!["k1".to_owned(), "k2".to_owned()],
@@ -43,7 +43,7 @@
                 keys: vec!["k3".to_owned()],
                 priority: None,
             },
-        ],
+        ]),
         ..TableSpec::default()
     })
 }
--- a/crates/vanillakeel/tests/ranked_requests.rs
+++ b/crates/vanillakeel/tests/ranked_requests.rs
@@ -35,7 +35,7 @@
     Table::new(TableSpec {
         version: 1,
         routes: routes(),
-        workspaces: priorities.iter().copied().map(workspace_with).collect(),
+        workspaces: Some(priorities.iter().copied().map(workspace_with).collect()),
         ..TableSpec::default()
     })
 }
@@ -87,7 +87,7 @@
     let table = Table::new(TableSpec {
         version: 1,
         routes: vec![routes().remove(1)],
-        workspaces: [Some(3), Some(7)].into_iter().map(workspace_with).collect(),
+        workspaces: Some([Some(3), Some(7)].into_iter().map(workspace_with).collect()),
         ..TableSpec::default()
     });
     let ranks = [Some(3), Some(7)].map(|tier| rank(&table, tier, 1));
