fix(fleet): keep what upstreams have said while their entries are missing

Cause: what answers say ended with the entry of the upstream, or was dropped if the entry was missing when it was said; an entry that was listed as leaving, removed and shown as live by an older list counted as live; and a request whose upstream had been taken off the list after the choice was sent all the same. Pauses and rate limits were forgotten in the same way.

What is known of a removed upstream is kept for a minute, goes on being updated and returns with an entry of the same process. The lines say when the upstream was chosen and who has told of a change of the list.

withdrawn_choice::missing_entry, chosen_before and limited_choice::missing_entry: 9 of 11 cases failed before, all pass now. Only suspected: a notice of the next process under the same id, and a view of the list that is too old.

--- a/crates/vanillakeel-entry/src/gateway/answer_head.rs
+++ b/crates/vanillakeel-entry/src/gateway/answer_head.rs
@@ -66,7 +66,7 @@
         // 421 Misdirected Request: the expected upstream is not at this address any more.
         if is_misdirected {
             let mut fleet = shared.fleet.borrow_mut();
-            fleet.on_leaving(&call.pick.name, call.pick.incarnation);
+            fleet.on_leaving(&call.pick);
         }
         // The body of a refusal is not read, so its connection can't be reused.
         call.max_idle_ms = None;
--- a/crates/vanillakeel-entry/src/gateway/call.rs
+++ b/crates/vanillakeel-entry/src/gateway/call.rs
@@ -29,7 +29,7 @@
     pub(super) pick: Pick,
     in_flight: Option<InFlightCall>,
     first_event: Option<Millis>,
-    /// Time at which the request was sent.
+    /// Time at which the request was sent; before that, the time at which the upstream was chosen.
     pub(super) sent: Millis,
     pub(super) connection: Option<HttpConnection>,
     /// How long the connection may stay idle after the response and still be reused, in ms; `None`
--- a/crates/vanillakeel-entry/src/gateway/exchange.rs
+++ b/crates/vanillakeel-entry/src/gateway/exchange.rs
@@ -437,12 +437,13 @@
     attempts.tried.push(Arc::clone(&call.pick.name));
     attempts.possible_runs += 1;
     attempts.sent_to = Some(call.pick.clone());
+    let chosen_ago_ms = now.since(call.sent);
     call.sent = now;
     let limit = shared.fleet.borrow().rate_of(&call.pick.name);
     if limit.is_some() {
         shared.metrics.limited_sends.inc();
     }
-    log_sent(shared, request, attempts, &call.pick, limit);
+    log_sent(shared, request, attempts, &call.pick, chosen_ago_ms, limit);
     let sent = match &mut call.connection {
         Some(connection) => connection.send(req).await,
         None => Err(SendError::NotSent),
@@ -462,12 +463,13 @@
     }
 }
 
-/// Logs that a request is sent; `limit` is the rate that its upstream names, and the part of this instance.
+/// Logs that a request is sent, `chosen_ago_ms` after the choice of its upstream; `limit` is the rate that its upstream names, and the part of this instance.
 fn log_sent(
     shared: &Shared,
     request: &RoutedRequest,
     attempts: &Attempts,
     pick: &Pick,
+    chosen_ago_ms: u64,
     limit: Option<(Rate, RatePart)>,
 ) {
     if !shared.may_log(Kind::Usual) {
@@ -490,6 +492,7 @@
         proof_age_ms = in_force.confirmation_age_ms(now),
         proof_from = &**shared.confirmed_by.borrow(),
         attempt = attempts.possible_runs,
+        chosen_ago_ms,
         to_read = pick.prefill_tokens,
         cached = pick.cached_tokens,
         fetched = pick.fetched_tokens,
--- a/crates/vanillakeel-entry/src/gateway/log_views.rs
+++ b/crates/vanillakeel-entry/src/gateway/log_views.rs
@@ -111,9 +111,9 @@
     let mut has_changed = false;
     for change in changes {
         if change.is_removed {
-            shared.on_removed(&change.listed.name);
+            shared.on_removed(&change.listed.name, reader);
         } else {
-            has_changed |= shared.on_listed(&change.listed);
+            has_changed |= shared.on_listed(&change.listed, reader);
         }
     }
     if has_changed {
--- a/crates/vanillakeel-entry/src/gateway/shared.rs
+++ b/crates/vanillakeel-entry/src/gateway/shared.rs
@@ -103,6 +103,9 @@
 /// Part of the time that a caller waits, as a divisor, for which a request waits for a confirmation at most.
 const UNCONFIRMED_WAIT_DIVISOR: u64 = 4;
 
+/// What has shown a change of the upstreams, in the log, if this instance has read the list itself.
+pub(super) const OWN_READ: &str = "log";
+
 /// Time for which software versions that have served are remembered, in ms: longer than a stream lives.
 const VERSION_REMEMBERED_MS: u64 = 600_000;
 
@@ -539,7 +542,9 @@
     }
 
     /// Adds or updates an upstream that discovery shows; returns whether anything has changed.
-    pub(super) fn on_listed(&self, listed: &ListedUpstream) -> bool {
+    ///
+    /// `shown_by` is the instance that has told of it, or [`OWN_READ`].
+    pub(super) fn on_listed(&self, listed: &ListedUpstream, shown_by: &str) -> bool {
         let has_changed = self.fleet.borrow_mut().on_listed(listed);
         if has_changed {
             tracing::info!(
@@ -548,6 +553,7 @@
                 incarnation = listed.incarnation,
                 state = ?listed.state,
                 software = listed.software.as_deref(),
+                shown_by,
                 "upstream listed"
             );
             self.record_change(listed.clone(), false);
@@ -555,8 +561,8 @@
         has_changed
     }
 
-    /// Removes an upstream that discovery no longer shows.
-    pub(super) fn on_removed(&self, name: &str) {
+    /// Removes an upstream that discovery no longer shows, by the word of the same instances.
+    pub(super) fn on_removed(&self, name: &str, shown_by: &str) {
         let listed = self
             .fleet
             .borrow()
@@ -566,7 +572,7 @@
         if let Some(listed) = listed {
             let now = self.clock.now();
             self.fleet.borrow_mut().on_removed(now, name);
-            tracing::info!(upstream = name, "upstream gone");
+            tracing::info!(upstream = name, shown_by, "upstream gone");
             self.removed_upstreams.borrow_mut().on_removed(now, &listed);
             self.record_change(listed, true);
         }
--- a/crates/vanillakeel-entry/src/gateway/watch/upstreams.rs
+++ b/crates/vanillakeel-entry/src/gateway/watch/upstreams.rs
@@ -19,7 +19,10 @@
             ReadRequest, //
         },
         log_views::MAX_READ_AGE_MS,
-        shared::Shared,
+        shared::{
+            OWN_READ,
+            Shared, //
+        },
     },
     COVERED_POLL_MS,
     RETRY_PAUSE_MS,
@@ -176,7 +179,7 @@
         }
         let due = self.missing.take_due(asked_at, &shared.fleet.borrow());
         for name in due {
-            shared.on_removed(&name);
+            shared.on_removed(&name, OWN_READ);
         }
         match (page.is_up_to_date, has_progress) {
             (true, _) => timing.discovery_every_ms,
@@ -228,7 +231,7 @@
                 has_changed |= if is_first {
                     shared.on_first_listed(&listed)
                 } else {
-                    shared.on_listed(&listed)
+                    shared.on_listed(&listed, OWN_READ)
                 };
             }
             Err(e) => {
--- a/crates/vanillakeel/src/fleet.rs
+++ b/crates/vanillakeel/src/fleet.rs
@@ -24,6 +24,7 @@
 //! assert_eq!(pick.map(|p| p.name.to_string()), Some("u-1".to_owned()));
 //! ```
 
+mod absent;
 mod admit;
 pub mod cache_source;
 mod cached;
--- a/crates/vanillakeel/src/fleet/limited.rs
+++ b/crates/vanillakeel/src/fleet/limited.rs
@@ -12,6 +12,7 @@
     },
     state::Fleet,
     upstream::{
+        ListedUpstream,
         RANK_COUNT,
         Upstream, //
     },
@@ -26,6 +27,7 @@
         self,
         Rate,
         RateChange,
+        RateLimit,
         RateTotals,
         ToldRate, //
     },
@@ -171,10 +173,19 @@
         rate: Option<Rate>,
         roster: &Roster,
     ) -> Option<RateChange> {
-        let upstream = self.find_incarnation(&pick.name, pick.incarnation)?;
-        let previous = upstream.rate_limit.rate();
-        let has_changed = upstream.rate_limit.on_answer(now, sent, rate);
-        has_changed.then(|| upstream.rate_change(now, previous, roster))
+        if let Some(upstream) = self.find_incarnation(&pick.name, pick.incarnation) {
+            let previous = upstream.rate_limit.rate();
+            let has_changed = upstream.rate_limit.on_answer(now, sent, rate);
+            return has_changed.then(|| upstream.rate_change(now, previous, roster));
+        }
+        let absent = self.find_absent(pick)?;
+        let previous = absent.rate_limit.rate();
+        let has_changed = absent.rate_limit.on_answer(now, sent, rate);
+        let service = Arc::clone(&absent.service);
+        has_changed.then(|| {
+            let limit = &mut absent.rate_limit;
+            rate_change(&pick.name, &service, limit, now, previous, roster)
+        })
     }
 
     /// Records an answer that names a rate that can't be read; returns whether it is the first one in a row of
@@ -225,13 +236,26 @@
 
 impl Upstream {
     fn rate_change(&mut self, now: Millis, previous: Option<Rate>, roster: &Roster) -> RateChange {
-        self.rate_limit.divide(now, roster);
-        RateChange {
-            upstream: Arc::clone(&self.listed.name),
-            service: Arc::clone(&self.listed.service),
-            rate: self.rate_limit.rate(),
-            previous,
-            part: self.rate_limit.part(),
-        }
+        let ListedUpstream { name, service, .. } = &self.listed;
+        rate_change(name, service, &mut self.rate_limit, now, previous, roster)
+    }
+}
+
+/// Works out the part of this instance anew after a change of a rate.
+fn rate_change(
+    upstream: &Arc<str>,
+    service: &Arc<str>,
+    limit: &mut RateLimit,
+    now: Millis,
+    previous: Option<Rate>,
+    roster: &Roster,
+) -> RateChange {
+    limit.divide(now, roster);
+    RateChange {
+        upstream: Arc::clone(upstream),
+        service: Arc::clone(service),
+        rate: limit.rate(),
+        previous,
+        part: limit.part(),
     }
 }
--- a/crates/vanillakeel/src/fleet/state.rs
+++ b/crates/vanillakeel/src/fleet/state.rs
@@ -1,13 +1,17 @@
 //! The known upstreams and the load on them.
 
 use super::{
+    absent::{
+        Absent,
+        AbsentUpstreams, //
+    },
     limited::RoomSought,
     notices::{
         CacheNotice,
         RecentNotices, //
     },
     refused::RefusedRequests,
-    removed::RemovedUpstreams,
+    request::Pick,
     service_speeds::ServiceSpeeds,
     shares::WorkspaceShares,
     targets::RecentTargets,
@@ -127,8 +131,7 @@
     pub(super) cache_notices: RecentNotices,
     /// Recent requests that found no room under rate limits, sorted by service.
     room_sought: Vec<RoomSought>,
-    /// Removed upstreams that had said that they leave.
-    left: RemovedUpstreams,
+    absent: AbsentUpstreams,
     refused: RefusedRequests,
     shares: WorkspaceShares,
     pub(super) service_speeds: ServiceSpeeds,
@@ -149,7 +152,7 @@
             targets: RecentTargets::EMPTY,
             cache_notices: RecentNotices::new(),
             room_sought: Vec::new(),
-            left: RemovedUpstreams::new(),
+            absent: AbsentUpstreams::NONE,
             refused: RefusedRequests::NONE,
             shares: WorkspaceShares::NONE,
             service_speeds: ServiceSpeeds::new(),
@@ -251,9 +254,7 @@
         let at = match self.find(&listed.name) {
             Err(at) => {
                 let mut upstream = self.new_upstream(listed);
-                if self.left.contains(listed) {
-                    upstream.availability.on_leaving();
-                }
+                self.absent.restore(&mut upstream);
                 self.upstreams.insert(at, upstream);
                 return true;
             }
@@ -293,18 +294,21 @@
 
     /// Removes an upstream that discovery no longer lists; returns whether it was known.
     ///
-    /// If it has said that it leaves, this is remembered in case an older list shows it again.
+    /// What it has said of itself is remembered in case it is listed again.
     pub fn on_removed(&mut self, now: Millis, name: &str) -> bool {
         let at = self.find(name);
         if let Ok(at) = at {
             let upstream = self.upstreams.remove(at);
-            if upstream.availability.is_leaving() {
-                self.left.on_removed(now, &upstream.listed);
-            }
+            self.absent.on_removed(now, upstream);
         }
         at.is_ok()
     }
 
+    /// Returns an incarnation that has been removed a short time ago.
+    pub(super) fn find_absent(&mut self, pick: &Pick) -> Option<&mut Absent> {
+        self.absent.find(&pick.name, pick.incarnation)
+    }
+
     /// Returns all upstreams in ascending order of name.
     pub fn iter(&self) -> impl Iterator<Item = &ListedUpstream> {
         self.upstreams.iter().map(|u| &u.listed)
--- a/crates/vanillakeel/src/fleet/withdrawn.rs
+++ b/crates/vanillakeel/src/fleet/withdrawn.rs
@@ -36,25 +36,30 @@
         notice: Notice,
     ) -> Option<AvailabilityChange> {
         let random = self.next_random();
-        let upstream = self.find_incarnation(&pick.name, pick.incarnation)?;
-        upstream.availability.on_answer(now, sent, notice, random)
+        if let Some(upstream) = self.find_incarnation(&pick.name, pick.incarnation) {
+            return upstream.availability.on_answer(now, sent, notice, random);
+        }
+        let absent = self.find_absent(pick)?;
+        absent.availability.on_answer(now, sent, notice, random)
     }
 
     /// Marks an incarnation as leaving.
-    pub fn on_leaving(&mut self, name: &str, incarnation: u64) {
-        if let Some(upstream) = self.find_incarnation(name, incarnation) {
+    pub fn on_leaving(&mut self, pick: &Pick) {
+        if let Some(upstream) = self.find_incarnation(&pick.name, pick.incarnation) {
             upstream.availability.on_leaving();
+        } else if let Some(absent) = self.find_absent(pick) {
+            absent.availability.on_leaving();
         }
     }
 
-    /// Returns whether a request that was to be sent to a chosen upstream must not be sent any more, since an answer
-    /// to another one has said so meanwhile.
+    /// Returns whether a request that was to be sent to a chosen upstream must not be sent any more, since the list or
+    /// an answer to another request has said so meanwhile.
     #[must_use]
     pub fn is_withdrawn(&self, now: Millis, pick: &Pick) -> bool {
         let upstream = self.named(&pick.name);
         upstream
             .filter(|u| u.listed.incarnation == pick.incarnation)
-            .is_some_and(|u| u.availability.is_leaving() || u.availability.is_paused(now))
+            .is_none_or(|u| !u.is_live() || u.availability.is_paused(now))
     }
 
     /// Returns how many upstreams want no requests.
--- a/crates/vanillakeel/tests/limited_choice.rs
+++ b/crates/vanillakeel/tests/limited_choice.rs
@@ -7,6 +7,7 @@
     listed,
     ranked_request, //
 };
+use rstest::rstest;
 use vanillakeel::{
     Millis,
     division::{
@@ -70,6 +71,28 @@
     Some(pick.name.to_string())
 }
 
+/// Guards against a rate that is forgotten because the entry of its upstream was missing, when the rate was named or
+/// afterwards.
+#[rstest]
+#[case::named_before(false)]
+#[case::named_while_missing(true)]
+fn missing_entry(#[case] is_named_while_missing: bool) {
+    let mut fleet = fleet(0, 1);
+    fleet.on_listed(&listed(0));
+    if is_named_while_missing {
+        fleet.on_removed(START, "runner-0");
+        limit(&mut fleet, 0..1, 2.0);
+    } else {
+        limit(&mut fleet, 0..1, 2.0);
+        fleet.on_removed(START, "runner-0");
+    }
+    fleet.on_listed(&listed(0));
+    assert_eq!(
+        fleet.rate_of("runner-0").map(|(rate, _)| rate),
+        Rate::new(2.0)
+    );
+}
+
 /// Guards against requests beyond the rate, and against others that suffer from it: they go elsewhere at once.
 #[test]
 fn others_take_over() {
--- a/crates/vanillakeel/tests/withdrawn_choice.rs
+++ b/crates/vanillakeel/tests/withdrawn_choice.rs
@@ -25,6 +25,7 @@
         Pick,
         PromptSegment, //
     },
+    membership::State,
 };
 
 const START: Millis = Millis::new(100_000);
@@ -95,6 +96,54 @@
     assert_eq!(offer(&mut fleet, later, LEAVES).is_some(), is_chosen);
 }
 
+/// Guards against what an upstream has said that is forgotten because its entry was missing, when it was said or
+/// afterwards, and against an upstream that is listed as live by an older list after it was listed as leaving.
+#[rstest]
+#[case::leaves(LEAVES, State::Live, 60_000)]
+#[case::pauses(pause(3_000), State::Live, 2_900)]
+#[case::listed_as_leaving(Notice::default(), State::Leaving, 60_000)]
+fn missing_entry(
+    #[case] notice: Notice,
+    #[case] state: State,
+    #[case] later_ms: u64,
+    #[values(false, true)] is_said_while_missing: bool,
+) {
+    let mut fleet = fleet(0, 1);
+    fleet.on_listed(&listed(0));
+    let (pick, call) = send(&mut fleet, START).expect("it is live");
+    fleet.on_listed(&ListedUpstream { state, ..listed(0) });
+    if is_said_while_missing {
+        fleet.on_removed(START, "runner-0");
+        fleet.on_notice(START, &pick, START, notice);
+    } else {
+        fleet.on_notice(START, &pick, START, notice);
+        fleet.on_removed(START, "runner-0");
+    }
+    fleet.on_end(START, call, CallOutcome::Neutral);
+    fleet.on_listed(&listed(0));
+    assert!(send(&mut fleet, START.plus(later_ms)).is_none());
+}
+
+/// Guards against a request that is sent to an upstream that was taken off the list, or listed as leaving, while a
+/// connection to it was opened.
+#[rstest]
+#[case::listed(State::Live, false, false)]
+#[case::leaves(State::Leaving, false, true)]
+#[case::removed(State::Live, true, true)]
+fn chosen_before(#[case] state: State, #[case] is_removed: bool, #[case] is_withdrawn: bool) {
+    let mut fleet = fleet(2, 1);
+    let (pick, _) = send(&mut fleet, START).expect("two are live");
+    let entry = [listed(0), listed(1)]
+        .into_iter()
+        .find(|e| e.name == pick.name);
+    let entry = entry.expect("one of them");
+    fleet.on_listed(&ListedUpstream { state, ..entry });
+    if is_removed {
+        fleet.on_removed(START, &pick.name);
+    }
+    assert_eq!(fleet.is_withdrawn(START, &pick), is_withdrawn);
+}
+
 /// Guards against an instance that reads the log itself for as long as an upstream leaves that is still listed: what
 /// an upstream says to one instance is no difference between their views of the list.
 #[test]
