fix: an answer whose status is none is no answer

Cause: the HTTP library reads any three digits from 100 on, and the check of the head took them as they were. Statuses below 100, of other lengths and words were refused before.

--- a/crates/vanillakeel-entry/src/gateway/answer_head.rs
+++ b/crates/vanillakeel-entry/src/gateway/answer_head.rs
@@ -34,7 +34,7 @@
 ///
 /// Returns [`SendFailure::Refused`] if the upstream states, by status 421 or the header for it,
 /// that it has not run the request, or [`SendFailure::Withdrawn`] if it adds that it takes no more for now. Returns [`SendFailure::Broken`] if the response does not echo
-/// the request id, has an encoded body, or is a success without the seal by which an upstream marks
+/// the request id, has a status that is none, has an encoded body, or is a success without the seal by which an upstream marks
 /// a response as its own. Returns [`SendFailure::UnmarkedRefusal`] if a request that must not be repeated gets
 /// a status that promises its caller that it has not run, while the upstream does not state that.
 pub(super) fn check(
@@ -51,6 +51,10 @@
         call.finish(CallOutcome::Failed);
         return Err(SendFailure::Broken("answer to another request"));
     }
+    if !is_final_status(response.status()) {
+        call.finish(CallOutcome::Failed);
+        return Err(SendFailure::Broken("answer with a status that is none"));
+    }
     call.max_idle_ms = max_idle_ms(shared, headers);
     call.framing = BodyFraming::of(headers);
     let is_misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
@@ -89,6 +93,12 @@
     Ok((call, response))
 }
 
+/// Returns whether an answer may end with a status: the HTTP library also reads those from 600 to 999, and hands on
+/// status 101, to which no request asks to switch.
+fn is_final_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Returns whether a caller takes a status for the promise that its request has not run and never will.
 const fn promises_not_run(status: StatusCode) -> bool {
     matches!(
--- a/crates/vanillakeel-entry/src/upstream.rs
+++ b/crates/vanillakeel-entry/src/upstream.rs
@@ -223,7 +223,9 @@
         return AttemptOutcome::Busy;
     }
     // The router may retry an idempotent request; otherwise the caller gets the error itself.
-    if status >= 500 && upstream_request.is_idempotent {
+    let is_error = status >= 500 && upstream_request.is_idempotent;
+    // The HTTP library also reads statuses that are none.
+    if is_error || !(200..600).contains(&status) {
         return AttemptOutcome::Failed {
             verdict: Verdict::MayHaveRun,
         };
--- a/crates/vanillakeel-entry/tests/unit/cut_answers.rs
+++ b/crates/vanillakeel-entry/tests/unit/cut_answers.rs
@@ -66,11 +66,15 @@
 
 /// An answer that is shorter than its length is a failed attempt and does not reach the caller.
 ///
-/// Guards against a cut answer that is framed anew as complete.
+/// Guards against a cut answer that is framed anew as complete, and against one whose status is none.
 #[rstest]
 #[case::whole("HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nabcd", true)]
 #[case::cut("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nabcd", false)]
 #[case::cut_error("HTTP/1.1 500 Oops\r\ncontent-length: 9\r\n\r\nabcd", false)]
+#[case::status_600("HTTP/1.1 600 Odd\r\ncontent-length: 4\r\n\r\nabcd", false)]
+#[case::status_999("HTTP/1.1 999 Odd\r\ncontent-length: 4\r\n\r\nabcd", false)]
+#[case::status_000("HTTP/1.1 000 Odd\r\ncontent-length: 4\r\n\r\nabcd", false)]
+#[case::status_101("HTTP/1.1 101 Odd\r\ncontent-length: 4\r\n\r\nabcd", false)]
 fn plain_answers(#[case] answer: &'static str, #[case] is_complete: bool) {
     let messages = messages(serve_once(answer), false);
     let has_answer = messages
