fix(gateway): limit what comes between two parts of a body

Cause: the HTTP library skips these zeros, and the limit on bytes before a body ended with the final head. It counts again between two parts of a body now.

--- a/crates/vanillakeel-entry/src/gateway/call.rs
+++ b/crates/vanillakeel-entry/src/gateway/call.rs
@@ -71,6 +71,13 @@
         self.first_event.map(|first| now.since(first))
     }
 
+    /// Limits what the upstream may send until the next part of the body.
+    pub(super) fn await_data(&self) {
+        if let Some(connection) = &self.connection {
+            connection.await_data();
+        }
+    }
+
     /// Records the first event of the response.
     pub(super) fn on_first_event(&mut self, now: Millis) {
         self.first_event.get_or_insert(now);
@@ -103,6 +110,7 @@
         let Some(connection) = self.connection.take() else {
             return;
         };
+        connection.on_response_end();
         let mut pool = self.shared.connection_pool.borrow_mut();
         let is_answered = matches!(outcome, CallOutcome::Success | CallOutcome::Refused);
         let is_reusable = is_answered && !connection.is_closed();
--- a/crates/vanillakeel-entry/src/gateway/client.rs
+++ b/crates/vanillakeel-entry/src/gateway/client.rs
@@ -172,6 +172,18 @@
         self.tx.is_closed()
     }
 
+    /// Counts what comes from now on, until the next part of the body of the response has been read.
+    ///
+    /// Without such a call, only what comes before the final head is limited.
+    pub fn await_data(&self) {
+        self.head_bytes.start();
+    }
+
+    /// Ends that count, as the response has been read completely.
+    pub fn on_response_end(&self) {
+        self.head_bytes.stop();
+    }
+
     /// Sends a request and waits for the head of its response.
     ///
     /// # Errors
--- a/crates/vanillakeel-entry/src/gateway/head_limit.rs
+++ b/crates/vanillakeel-entry/src/gateway/head_limit.rs
@@ -1,7 +1,8 @@
-//! Limit on what another process sends before the final head of its answer.
+//! Limit on what another process sends before the final head of its answer, and between two parts of its body.
 //!
-//! The HTTP library skips interim heads for as long as there are bytes to read, and one upstream that sends them without
-//! end would take the thread from all requests. [`LimitedStream`] fails once too much has come for a request.
+//! The HTTP library skips interim heads, and leading zeros of a chunk's size, for as long as there are bytes to read. One
+//! upstream that sends them without end would take the thread from all requests. [`LimitedStream`] fails once too much
+//! has come for a request.
 
 use std::{
     cell::Cell,
@@ -23,10 +24,12 @@
     net::TcpStream,
 };
 
-/// Most bytes of all heads of an answer, in bytes; the last read may hold a part of the body as well.
+/// Most bytes of all heads of an answer, and between two parts of its body, in bytes; the last read may hold the next
+/// part as well.
 const MAX_HEAD_BYTES: usize = 256 << 10;
 
-/// Number of bytes that have come for a request that has no answer yet; `None` while no answer is awaited.
+/// Number of bytes that have come for a request since it was sent, or since the last part of the answer's body; `None`
+/// while neither is awaited.
 #[derive(Clone, Debug, Default)]
 pub(super) struct HeadBytes(Rc<Cell<Option<usize>>>);
 
@@ -36,7 +39,7 @@
         self.0.set(Some(0));
     }
 
-    /// Ends the count, as the final head has come.
+    /// Ends the count, as the final head or the end of the body has come.
     pub(super) fn stop(&self) {
         self.0.set(None);
     }
@@ -65,7 +68,8 @@
         let before = buf.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
         if self.head_bytes.exceeds(buf.filled().len() - before) {
-            let reason = "the heads of the answer are too long";
+            let reason =
+                "too many bytes before the head of the answer or the next part of its body";
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, reason)));
         }
         Poll::Ready(Ok(()))
--- a/crates/vanillakeel-entry/src/gateway/relay.rs
+++ b/crates/vanillakeel-entry/src/gateway/relay.rs
@@ -128,6 +128,7 @@
         body: Incoming,
     ) -> Self {
         let remaining = Duration::from_millis(request.remaining_ms(shared.clock.now()));
+        call.await_data();
         Self {
             shared: Rc::clone(shared),
             request: Rc::clone(request),
@@ -237,6 +238,7 @@
         let now = self.shared.clock.now();
         self.progress.on_chunk(now);
         if let RelayState::Receiving(receiving) = &mut self.state {
+            receiving.0.await_data();
             receiving.0.on_first_event(now);
         }
         let relayed = match &mut self.events {
@@ -467,6 +469,7 @@
             return;
         };
         let is_stream = continues_stream(&response);
+        call.await_data();
         self.state = RelayState::Receiving(Box::new((call, response.into_body())));
         if !is_stream {
             self.on_unfit_run("continued by an answer that is no stream");
--- a/crates/vanillakeel-entry/src/gateway/response.rs
+++ b/crates/vanillakeel-entry/src/gateway/response.rs
@@ -84,7 +84,7 @@
     let buffered = if is_success && is_stream_route {
         BufferedBody::Partial(Bytes::new(), body)
     } else {
-        match buffer_body(request.held.caller(), body).await {
+        match buffer_body(request.held.caller(), &call, body).await {
             Ok(buffered) => buffered,
             Err(_) => {
                 call.finish(CallOutcome::Failed);
@@ -204,11 +204,14 @@
 /// Reads a body until it ends, exceeds [`MAX_BUFFERED_BYTES`] or finds no room.
 async fn buffer_body(
     caller: &Rc<Caller>,
+    call: &Call,
     mut body: Incoming,
 ) -> Result<BufferedBody, hyper::Error> {
     let mut bytes = BytesMut::new();
     let mut held = caller.hold_nothing();
+    call.await_data();
     while let Some(frame) = body.frame().await {
+        call.await_data();
         if let Ok(data) = frame?.into_data() {
             bytes.extend_from_slice(&data);
         }
