fix(gateway): an upstream may leave a long body unread while it answers

Cause: the time limit for unacknowledged bytes also counts while the peer's receive window is zero. Ruled out: the stop of the machine, without which as many are cut.

A request with a body over 16 KiB gets a connection of its own, without that limit until its deadline; it is closed after the answer. Short requests keep the limit.

--- a/crates/vanillakeel-entry/src/gateway/answer_head.rs
+++ b/crates/vanillakeel-entry/src/gateway/answer_head.rs
@@ -55,7 +55,8 @@
         call.finish(CallOutcome::Failed);
         return Err(SendFailure::Broken("answer with a status that is none"));
     }
-    call.max_idle_ms = max_idle_ms(shared, headers);
+    // The next request would wait behind a body that is not read.
+    call.max_idle_ms = max_idle_ms(shared, headers).filter(|_| !call.has_long_body);
     call.framing = BodyFraming::of(headers);
     let is_misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
     // Status 421 comes from another process, which says nothing of the expected one.
--- a/crates/vanillakeel-entry/src/gateway/call.rs
+++ b/crates/vanillakeel-entry/src/gateway/call.rs
@@ -35,6 +35,8 @@
     /// How long the connection may stay idle after the response and still be reused, in ms; `None`
     /// if it can't be reused.
     pub(super) max_idle_ms: Option<u64>,
+    /// Whether the upstream may leave the body of the request unread while it answers.
+    pub(super) has_long_body: bool,
     /// Framing of the response body, once the head has arrived.
     pub(super) framing: BodyFraming,
 }
@@ -56,6 +58,7 @@
             sent: shared.clock.now(),
             connection: None,
             max_idle_ms: None,
+            has_long_body: false,
             framing: BodyFraming::default(),
         }
     }
--- a/crates/vanillakeel-entry/src/gateway/exchange.rs
+++ b/crates/vanillakeel-entry/src/gateway/exchange.rs
@@ -82,6 +82,9 @@
 /// Time to the deadline below which a request is refused instead of sent, in ms.
 const MIN_REMAINING_MS: u64 = 5;
 
+/// Length from which a body may fill the receive window of an upstream that does not read it yet, in bytes.
+const LONG_BODY_BYTES: usize = 16 << 10;
+
 /// Why an attempt produced no response that can be forwarded.
 ///
 /// The doc comment of each variant is its message in the log.
@@ -510,6 +513,9 @@
 
 /// Gives a call an idle connection from the pool or a new one.
 ///
+/// A request with a long body gets a connection of its own. Its upstream may answer first and read the body later, with
+/// a receive window of zero meanwhile, which the kernel does not tell from a peer that no longer responds.
+///
 /// # Errors
 ///
 /// Returns an error if the limit on connections to the upstream is reached or a new connection is
@@ -522,12 +528,15 @@
 ) -> Result<(), SendFailure> {
     let (name, incarnation) = (Arc::clone(&call.pick.name), call.pick.incarnation);
     let now = shared.clock.now();
-    call.connection = shared
-        .connection_pool
-        .borrow_mut()
-        .take_idle(now, &name, incarnation);
-    if call.connection.is_some() {
-        return Ok(());
+    call.has_long_body = request.body.len() > LONG_BODY_BYTES;
+    if !call.has_long_body {
+        call.connection = shared
+            .connection_pool
+            .borrow_mut()
+            .take_idle(now, &name, incarnation);
+        if call.connection.is_some() {
+            return Ok(());
+        }
     }
     let max_connections = request.max_connections;
     let has_room = shared
@@ -539,7 +548,12 @@
         return Err(SendFailure::NoConnection);
     }
     let reserved = ReservedConnection(shared, &name, incarnation);
-    match HttpConnection::open(call.pick.address, shared.connection_timeouts()).await {
+    let mut timeouts = shared.connection_timeouts();
+    if call.has_long_body {
+        let remaining = Duration::from_millis(request.remaining_ms(now));
+        timeouts.unacknowledged = timeouts.unacknowledged.max(remaining);
+    }
+    match HttpConnection::open(call.pick.address, timeouts).await {
         Ok(connection) => {
             std::mem::forget(reserved);
             shared.metrics.upstream_connections.inc();
