fix(gateway): announce a stop again before a next process can have started

The second announcement waited for the log. If the log was slow, it could have reached peers after the next process under the same name had introduced itself, and removed that one. It is sent 50 ms after the first one now. Found by reading; stops_overlap passes.

--- a/crates/vanillakeel-entry/src/gateway/peers.rs
+++ b/crates/vanillakeel-entry/src/gateway/peers.rs
@@ -84,6 +84,9 @@
 /// Time by which the tasks that read the log go first when it is asked again after a failure, in ms.
 const ASK_DELAY_MS: u64 = 200;
 
+/// Time between the two announcements of a stop, in ms.
+const ANNOUNCE_AGAIN_MS: u64 = 50;
+
 /// Exchanges messages with peers for as long as the process runs.
 pub(super) async fn run(shared: Rc<Shared>, log: LogAdapter, socket: Rc<UdpSocket>) {
     tokio::join!(
@@ -185,9 +188,10 @@
     let told = shared.mesh.borrow().told_of_stop(now);
     announce_stop(shared, socket, &told).await;
     tokio::join!(
+        delete_address(shared, log),
         async {
-            delete_address(shared, log).await;
             // The first announcement may be lost.
+            sleep(Duration::from_millis(ANNOUNCE_AGAIN_MS)).await;
             announce_stop(shared, socket, &told).await;
         },
         saved_streams::save(shared, log, has_successor),
