--- a/crates/vanillakeel-entry/src/gateway/answer_head.rs
+++ b/crates/vanillakeel-entry/src/gateway/answer_head.rs
@@ -33,10 +33,11 @@
 /// # Errors
 ///
 /// Returns [`SendFailure::Refused`] if the upstream states, by status 421 or the header for it,
-/// that it has not run the request, or [`SendFailure::Withdrawn`] if it adds that it takes no more for now. Returns [`SendFailure::Broken`] if the response does not echo
-/// the request id, has a status that is none, has an encoded body, or is a success without the seal by which an upstream marks
-/// a response as its own. Returns [`SendFailure::UnmarkedRefusal`] if a request that must not be repeated gets
-/// a status that promises its caller that it has not run, while the upstream does not state that.
+/// that it has not run the request, or [`SendFailure::Withdrawn`] if it adds that it takes no more for now. Returns
+/// [`SendFailure::Broken`] if the response does not echo the request id, has an invalid status or an encoded body, or
+/// is a success without the seal by which an upstream marks a response as its own. Returns
+/// [`SendFailure::UnmarkedRefusal`] if a request that must not be repeated gets a status that promises its caller that
+/// it has not run, while the upstream does not state that.
 pub(super) fn check(
     shared: &Shared,
     request: &RoutedRequest,
@@ -53,7 +54,7 @@
     }
     if !is_final_status(response.status()) {
         call.finish(CallOutcome::Failed);
-        return Err(SendFailure::Broken("answer with a status that is none"));
+        return Err(SendFailure::Broken("answer with an invalid status"));
     }
     // The next request would wait behind a body that is not read.
     call.max_idle_ms = max_idle_ms(shared, headers).filter(|_| !call.has_long_body);
@@ -94,8 +95,9 @@
     Ok((call, response))
 }
 
-/// Returns whether an answer may end with a status: the HTTP library also reads those from 600 to 999, and hands on
-/// status 101, to which no request asks to switch.
+/// Returns whether a status may be that of a final answer.
+///
+/// The HTTP library also accepts statuses from 600 to 999, and 101, which only answers a request to switch protocols.
 fn is_final_status(status: StatusCode) -> bool {
     (200..600).contains(&status.as_u16())
 }
--- a/crates/vanillakeel-entry/src/gateway/exchange.rs
+++ b/crates/vanillakeel-entry/src/gateway/exchange.rs
@@ -466,7 +466,8 @@
     }
 }
 
-/// Logs that a request is sent, `chosen_ago_ms` after the choice of its upstream; `limit` is the rate that its upstream names, and the part of this instance.
+/// Logs that a request is sent, `chosen_ago_ms` after the choice of its upstream; `limit` is the rate that the
+/// upstream names, and the part of this instance.
 fn log_sent(
     shared: &Shared,
     request: &RoutedRequest,
--- a/crates/vanillakeel-entry/src/gateway/saved_streams.rs
+++ b/crates/vanillakeel-entry/src/gateway/saved_streams.rs
@@ -166,9 +166,9 @@
     for key in expired {
         let is_cleaner = shared.mesh.borrow().position(order::hash(&key)) < CLEANERS;
         let entry = Entry { key, value: None };
-        while is_cleaner
-            && !log_writes::write(shared, log, entry.clone(), "expired streams", ASK_DELAY_MS).await
-        {
+        if is_cleaner {
+            let what = "expired streams";
+            while !log_writes::write(shared, log, entry.clone(), what, ASK_DELAY_MS).await {}
         }
     }
 }
--- a/crates/vanillakeel-entry/src/gateway/streams.rs
+++ b/crates/vanillakeel-entry/src/gateway/streams.rs
@@ -1,9 +1,9 @@
 //! Streams that callers take up with another request.
 //!
 //! [`on_first_event`] tells the keepers of a stream by which service and software version it began, before the first
-//! event is relayed; what all others are told stands in [`passed_streams`](super::passed_streams).
-//! [`origin_of`] finds both for a request that continues a stream: in the
-//! memory of this instance, by asking the keepers, or since only one version can have begun the stream.
+//! event is relayed; what all others are told stands in [`passed_streams`](super::passed_streams). [`origin_of`] finds
+//! both for a request that continues a stream: in the memory of this instance, by asking the keepers, or since only one
+//! version can have begun the stream.
 
 use super::{
     answer::Refusal,
--- a/crates/vanillakeel-entry/src/upstream.rs
+++ b/crates/vanillakeel-entry/src/upstream.rs
@@ -224,7 +224,7 @@
     }
     // The router may retry an idempotent request; otherwise the caller gets the error itself.
     let is_error = status >= 500 && upstream_request.is_idempotent;
-    // The HTTP library also reads statuses that are none.
+    // The HTTP library also accepts statuses that are not valid.
     if is_error || !(200..600).contains(&status) {
         return AttemptOutcome::Failed {
             verdict: Verdict::MayHaveRun,
--- a/crates/vanillakeel/src/streams.rs
+++ b/crates/vanillakeel/src/streams.rs
@@ -1,12 +1,12 @@
 //! The service and the software version that began a stream, for callers that take it up with another request.
 //!
-//! A stream may only go on at the software version that began it, and at its service while the route leads there. The caller names the request that
-//! brought the first event, and may do so at any instance, also after the first one has ended. The
-//! instance that relays the first event therefore tells a few others, the *keepers* of the stream,
+//! A stream may only go on at the software version that began it, and at its service while the route leads there. The
+//! caller names the request that brought the first event, and may do so at any instance, also after the first one has
+//! ended. The instance that relays the first event therefore tells a few others, the *keepers* of the stream,
 //! before the caller gets it ([`Mesh::keepers`](crate::mesh::Mesh::keepers)). All others are told within a
 //! few exchanges of load ([`Spread`]), so that any instance which is left can go on with the streams of
-//! all that have ended. An instance that does not know a stream asks the keepers. A stream that nobody knows can still go on while only one version
-//! [has served](ServedVersions) for as long as streams live.
+//! all that have ended. An instance that does not know a stream asks the keepers. A stream that nobody knows can still
+//! go on while only one version [has served](ServedVersions) for as long as streams live.
 //!
 //! ```
 //! use vanillakeel::{Millis, streams::{BegunStreams, Origin, Settings, StreamId}};
