fix(gateway): remember the keys of all earlier lists

A caller whose key a version had taken away was served again once a later version had no list of workspaces, unless the last list was the one that held the key; after an empty list upstreams got Authorization. Found by reading the change again.

Cause: a version remembered the keys of the one before it only if it required none itself, and whether keys are in use was read off the keys. Each version now remembers all keys that earlier ones held and it does not, and whether any of them required keys. Ruled out: a key that a later list gives back, which is no longer remembered (list_missing).

Memory: a hash and the key for each key that was ever taken away while the process runs.

--- a/crates/vanillakeel/src/routes.rs
+++ b/crates/vanillakeel/src/routes.rs
@@ -56,7 +56,9 @@
     keys: Vec<(u64, String, usize)>,
     workspaces: Vec<Workspace>,
     requires_keys: bool,
-    /// Keys that earlier versions held, with their hashes, if this version requires none; sorted.
+    /// Whether this version or an earlier one requires keys.
+    has_used_keys: bool,
+    /// Keys that earlier versions held and this one does not, with their hashes, sorted.
     former_keys: Vec<(u64, String)>,
     ranks: RankTable,
     limits: Limits,
@@ -101,24 +103,26 @@
             keys,
             workspaces,
             requires_keys,
+            has_used_keys: requires_keys,
             former_keys: Vec::new(),
             ranks,
             limits,
         }
     }
 
-    /// Remembers the keys that the version before this one held, or remembered, if this version requires none.
+    /// Remembers the keys that the version before this one held, or remembered, and this one does not hold.
     fn follow(&mut self, earlier: &Self) {
-        if self.requires_keys {
-            return;
-        }
+        self.has_used_keys |= earlier.has_used_keys;
         let held = earlier
             .keys
             .iter()
             .map(|(hash, key, _)| (*hash, key.clone()));
         let former = held.chain(earlier.former_keys.iter().cloned());
-        self.former_keys = former.collect();
-        self.former_keys.sort_unstable();
+        let is_gone = |(_, key): &(u64, String)| self.workspace_of_key(key).is_none();
+        let mut former: Vec<_> = former.filter(is_gone).collect();
+        former.sort_unstable();
+        former.dedup();
+        self.former_keys = former;
     }
 
     /// Returns the version.
@@ -174,7 +178,7 @@
         self.requires_keys
     }
 
-    /// Returns whether `key` was taken away by this version, which requires none.
+    /// Returns whether an earlier version held `key`, and this one does not.
     #[must_use]
     pub fn is_former_key(&self, key: &str) -> bool {
         let hash = order::hash(key);
@@ -186,7 +190,7 @@
     /// Returns whether this version requires keys, or an earlier one did.
     #[must_use]
     pub const fn has_used_keys(&self) -> bool {
-        self.requires_keys || !self.former_keys.is_empty()
+        self.has_used_keys
     }
 
     /// Returns the workspace that owns `key`.
--- a/crates/vanillakeel/src/routes/in_force.rs
+++ b/crates/vanillakeel/src/routes/in_force.rs
@@ -96,7 +96,7 @@
 
     /// Puts a version in force if it is newer than the present one; returns whether it is.
     ///
-    /// Keys that the present one holds stay refused if the newer one requires no keys.
+    /// Keys that the present one and those before it held stay refused if the newer one requires no keys.
     pub fn install(&mut self, mut table: Table) -> bool {
         let is_newer = self
             .table
