fix(gateway): count the streams that are saved, not the records passed over

Operators read more saved streams in the metric and the log line than there were, if some had been forgotten by then. Found by reading the change again.

Cause: the count was the distance between two record numbers, which also covers streams that have expired or made room. Ruled out: a wrong content, since only known streams were written. The count is now that of the streams in the record.

--- a/crates/vanillakeel-entry/src/gateway/saved_streams.rs
+++ b/crates/vanillakeel-entry/src/gateway/saved_streams.rs
@@ -74,39 +74,41 @@
 /// is no successor, and those that begin while no other instance stays.
 pub(super) async fn save(shared: &Shared, log: &LogAdapter, has_successor: bool) {
     let end = shared.begun_streams.borrow().end();
-    let mut unsaved = if has_successor {
-        Unsaved {
-            from: end,
-            all_before: end,
-        }
-    } else {
-        Unsaved {
-            from: 0,
-            all_before: end,
-        }
+    let mut unsaved = Unsaved {
+        from: if has_successor { end } else { 0 },
+        all_before: end,
     };
     let mut number = 0;
     loop {
         let exiting = shared.exiting.notified();
-        let Some((value, next)) = next_record(shared, &mut unsaved) else {
+        let Some(record) = next_record(shared, &mut unsaved) else {
             let _ = timeout(Duration::from_millis(CHECK_MS), exiting).await;
             continue;
         };
         let name = shared.mesh.borrow().me().name.to_string();
         let entry = Entry {
             key: format!("{KEY_PREFIX}{name} {number}"),
-            value: Some(value),
+            value: Some(record.value),
         };
         while !log_writes::write(shared, log, entry.clone(), "streams", ASK_DELAY_MS).await {}
-        shared.metrics.saved_streams.inc_by(next - unsaved.from);
-        tracing::info!(streams = next - unsaved.from, number, "streams saved");
-        unsaved.from = next;
+        shared.metrics.saved_streams.inc_by(record.streams as u64);
+        tracing::info!(streams = record.streams, number, "streams saved");
+        unsaved.from = record.next;
         number += 1;
     }
 }
 
-/// Returns the next record with streams to save and the number after the last one, or `None` if there are none.
-fn next_record(shared: &Shared, unsaved: &mut Unsaved) -> Option<(Bytes, u64)> {
+/// A record with streams to save.
+struct Record {
+    value: Bytes,
+    /// Number of streams in it.
+    streams: usize,
+    /// Number after the last stream that it covers.
+    next: u64,
+}
+
+/// Returns the next record with streams to save, or `None` if there are none.
+fn next_record(shared: &Shared, unsaved: &mut Unsaved) -> Option<Record> {
     let begun = shared.begun_streams.borrow();
     // The instances that stay are told of each stream that begins.
     if unsaved.from >= unsaved.all_before && !shared.mesh.borrow().is_empty() {
@@ -114,7 +116,11 @@
     }
     let now = shared.clock.now();
     let (streams, next) = begun.passed_from(now, unsaved.from, MAX_STREAMS_PER_RECORD);
-    (!streams.is_empty()).then(|| (encode(&streams, begun.remembered_ms()), next))
+    (!streams.is_empty()).then(|| Record {
+        value: encode(&streams, begun.remembered_ms()),
+        streams: streams.len(),
+        next,
+    })
 }
 
 fn encode(streams: &[PassedStream], remembered_ms: u64) -> Bytes {
--- a/crates/vanillakeel/src/mesh/state.rs
+++ b/crates/vanillakeel/src/mesh/state.rs
@@ -225,10 +225,10 @@
         let is_recent = |received| now.since(received) < self.settings.report_ttl_ms;
         let has_peer =
             |data_centre: &str| self.peers().any(|peer| *peer.data_centre == *data_centre);
-        let totals = self.totals.iter().filter(|t| is_recent(t.received));
+        let mut totals = self.totals.iter().filter(|t| is_recent(t.received));
         self.reporting_members(now) > 0
             || self.hears_hub(now)
-            || totals.into_iter().any(|t| has_peer(&t.data_centre))
+            || totals.any(|t| has_peer(&t.data_centre))
     }
 
     /// Returns all known peers in ascending order of name.
