--- a/review/standins-3/endless_events.rs
+++ b/review/standins-3/endless_events.rs
@@ -58,6 +58,11 @@
 }
 
 fn main() {
+    exit(play());
+}
+
+/// Plays the case; returns the exit code.
+fn play() -> i32 {
     let folder = env::args().nth(1).unwrap_or_else(|| ".".to_owned());
     let record = Record::create(&format!("{folder}/record.txt"));
     let spoiled = if has_trouble() { SPOILED } else { 0 };
@@ -79,7 +84,7 @@
     let mut daemon = Daemon::start(store.address, "front-halle-nord-1", machine);
     if !daemon.wait_ready() {
         record.add("the instance did not get ready");
-        exit(COULD_NOT_RUN);
+        return COULD_NOT_RUN;
     }
     thread::sleep(Duration::from_millis(1_500));
     let front = daemon.front;
@@ -137,8 +142,7 @@
         (false, false) if count(&ordinary.answered) > 0 => HELD,
         _ => COULD_NOT_RUN,
     };
-    drop(daemon);
-    exit(result);
+    result
 }
 
 /// A model runner, which spoils a share of its answers.
--- a/review/standins-3/kit.rs
+++ b/review/standins-3/kit.rs
@@ -8,6 +8,7 @@
     env, fs,
     io::{self, BufRead, BufReader, Write},
     net::{SocketAddr, TcpListener, TcpStream},
+    os::unix::process::CommandExt as _,
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::{
@@ -348,8 +349,18 @@
 }
 
 impl Daemon {
-    /// Starts the program of the deploy file with the template of the settings, filled in as the platform does.
+    /// Starts the program of the deploy file at the first start of the whole system.
     pub fn start(store: SocketAddr, name: &str, machine: Machine) -> Self {
+        Self::start_with(store, name, machine, true)
+    }
+
+    /// Starts the program again.
+    pub fn restart(store: SocketAddr, name: &str, machine: Machine) -> Self {
+        Self::start_with(store, name, machine, false)
+    }
+
+    /// Starts the program with the template of the settings, filled in as the platform does.
+    fn start_with(store: SocketAddr, name: &str, machine: Machine, bootstrap: bool) -> Self {
         let (front, ready, peers) = (free_port(), free_port(), free_port());
         let millis = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
         let directory = env::temp_dir().join(format!(
@@ -376,7 +387,7 @@
             ("bounds.retry_budget_ratio", "0.2".to_owned()),
             ("bounds.budget_slack", "56".to_owned()),
             ("bounds.budget_window_s", "10".to_owned()),
-            ("bootstrap", "true".to_owned()),
+            ("bootstrap", bootstrap.to_string()),
         ];
         let mut text = template;
         for (key, value) in &values {
@@ -390,13 +401,21 @@
         let settings = directory.join("settings.toml");
         fs::write(&settings, text).expect("the settings are written");
         let log = fs::File::create(directory.join("log")).expect("the log is created");
-        let child = Command::new("target/release/vanillakeel-platform")
+        let mut command = Command::new("target/release/vanillakeel-platform");
+        command
             .env("VANILLAKEEL_SETTINGS", &settings)
             .stdin(Stdio::null())
             .stdout(log.try_clone().expect("a second handle"))
-            .stderr(log)
-            .spawn()
-            .expect("the daemon starts");
+            .stderr(log);
+        // The daemon ends with the thread that starts it, whatever ends that one.
+        // SAFETY: the call is allowed between fork and exec.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL, 0, 0, 0);
+                Ok(())
+            });
+        }
+        let child = command.spawn().expect("the daemon starts");
         let at = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
         Self {
             child,
@@ -472,7 +491,11 @@
     )
 }
 
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: u64 = 9;
+
 unsafe extern "C" {
+    fn prctl(option: i32, a: u64, b: u64, c: u64, d: u64) -> i32;
     fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
     fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
     fn connect(fd: i32, address: *const u8, length: u32) -> i32;
--- a/review/standins-3/slow_readers.rs
+++ b/review/standins-3/slow_readers.rs
@@ -51,6 +51,11 @@
 }
 
 fn main() {
+    exit(play());
+}
+
+/// Plays the case; returns the exit code.
+fn play() -> i32 {
     let folder = env::args().nth(1).unwrap_or_else(|| ".".to_owned());
     let record = Record::create(&format!("{folder}/record.txt"));
     let is_slow = has_trouble();
@@ -72,7 +77,7 @@
     let mut daemon = Daemon::start(store.address, "front-halle-nord-1", machine);
     if !daemon.wait_ready() {
         record.add("the instance did not get ready");
-        exit(COULD_NOT_RUN);
+        return COULD_NOT_RUN;
     }
     thread::sleep(Duration::from_millis(1_500));
     let front = daemon.front;
@@ -126,11 +131,7 @@
         (false, false) if count(&ordinary.answered) > 0 => HELD,
         _ => COULD_NOT_RUN,
     };
-    if let Ok(path) = env::var("KEEP_LOG") {
-        let _ = std::fs::write(path, daemon.log());
-    }
-    drop(daemon);
-    exit(result);
+    result
 }
 
 /// A runner with long answers.
