--- a/review/standins-3/slow_readers.rs
+++ b/review/standins-3/slow_readers.rs
@@ -4,7 +4,7 @@
 
 use kit::{
     BROKEN, COULD_NOT_RUN, Daemon, HELD, Machine, Ordinary, Record, Store, Watch, answer_head,
-    configuration, connect_narrow, has_trouble, read_body, read_head, request, runner_entry, serve,
+    configuration, connect_narrow, exchange, has_trouble, read_body, read_head, request, runner_entry, serve,
 };
 use std::{
     env,
@@ -13,7 +13,7 @@
     process::exit,
     sync::{
         Arc,
-        atomic::{AtomicU32, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
     thread,
     time::{Duration, Instant},
@@ -82,6 +82,11 @@
     thread::sleep(Duration::from_millis(1_500));
     let front = daemon.front;
     let clients = ordinary.start_clients(front, CLIENTS);
+    let is_over = Arc::new(AtomicBool::new(false));
+    let prober = {
+        let (record, answers, is_over) = (record.clone(), Arc::clone(&answers), Arc::clone(&is_over));
+        thread::spawn(move || probe_bodies(&record, front, &answers, &is_over))
+    };
     let mut watch = Watch::new(&record, machine);
     let mut threads = Vec::new();
     for n in 0..READERS {
@@ -105,6 +110,8 @@
     // The clients see the end of their connections.
     thread::sleep(Duration::from_millis(300));
     ordinary.stop();
+    is_over.store(true, Ordering::SeqCst);
+    let _ = prober.join();
     for client in clients {
         let _ = client.join();
     }
@@ -194,3 +201,19 @@
         answers.whole.fetch_add(1, Ordering::SeqCst);
     }
 }
+
+/// Sends ordinary requests with a short body, which are counted apart.
+fn probe_bodies(record: &Record, front: SocketAddr, answers: &Answers, is_over: &AtomicBool) {
+    let mut number = 0;
+    while !is_over.load(Ordering::SeqCst) {
+        number += 1;
+        let id = format!("b0d7{number:08x}");
+        let sent = request("POST", "/puxa403/2f", &id, 1_500, "", &"x".repeat(600));
+        let status = exchange(front, sent.as_bytes()).map_or(0, |(head, _)| head.status());
+        record.add(&format!(
+            "request with a body of 600 bytes: {status}, beside {} long answers",
+            answers.begun.load(Ordering::SeqCst)
+        ));
+        thread::sleep(Duration::from_millis(200));
+    }
+}
