--- a/review/13/run.sh
+++ b/review/15/run.sh
@@ -3,7 +3,7 @@
 # without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/vanillakeel-platform ] && [ -x target/review-3/killed_instances ] || exit 2
-timeout 110 target/review-3/killed_instances review/13
+timeout 110 target/review-3/killed_instances review/15
 code=$?
 [ "$code" -le 1 ] || code=2
 exit "$code"
