--- a/review/standins-3/kit.rs
+++ b/review/standins-3/kit.rs
@@ -445,7 +445,10 @@
     /// Sends a signal by name, such as `TERM`.
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
-        let sent = Command::new("kill").arg(format!("-{name}")).arg(pid).status();
+        let sent = Command::new("kill")
+            .arg(format!("-{name}"))
+            .arg(pid)
+            .status();
         assert!(sent.is_ok_and(|s| s.success()), "the signal is sent");
     }
 
@@ -484,7 +487,14 @@
 }
 
 /// Returns a request of a client with the fields that all have.
-pub fn request(method: &str, path: &str, id: &str, deadline_ms: u64, more: &str, body: &str) -> String {
+pub fn request(
+    method: &str,
+    path: &str,
+    id: &str,
+    deadline_ms: u64,
+    more: &str,
+    body: &str,
+) -> String {
     format!(
         "{method} {path} HTTP/1.1\r\nHost: ficu95.example\r\nVanillakeel-Request-Id: {id}\r\nVanillakeel-Deadline-Ms: {deadline_ms}\r\nAuthorization: Bearer {KEY}\r\n{more}Content-Length: {}\r\n\r\n{body}",
         body.len()
@@ -599,7 +609,11 @@
     }
 
     /// Starts clients that send until the end.
-    pub fn start_clients(self: &Arc<Self>, front: SocketAddr, count: u32) -> Vec<thread::JoinHandle<()>> {
+    pub fn start_clients(
+        self: &Arc<Self>,
+        front: SocketAddr,
+        count: u32,
+    ) -> Vec<thread::JoinHandle<()>> {
         let start = |n| {
             let ordinary = Arc::clone(self);
             thread::spawn(move || ordinary.send_requests(front, n))
